Thin whole path: look-up, publish, dispatch, drain over separate processes

The first path from a caller's look-up to a backend server's answer, with publication through the platform's table and object store, heartbeats between entries, and an operators' tool. Each package holds the simplest form of its matter; the ports between them are what later changes build on.

--- /dev/null
+++ b/document/document_test.go
@@ -0,0 +1,63 @@
+package document_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/teaselstack/teaselstack/document"
+)
+
+type region struct {
+	Name    string           `toml:"name"`
+	MaxRate float64          `toml:"max-rate"`
+	Link    document.BitRate `toml:"link"`
+}
+
+type sample struct {
+	Name    string            `toml:"name"`
+	Timeout document.Duration `toml:"timeout"`
+	Regions []region          `toml:"region"`
+}
+
+func TestFaultsNameFileLineAndKey(t *testing.T) {
+	for name, test := range map[string]struct {
+		content string
+		want    string
+	}{
+		"unknown key": {
+			content: "name = \"a\"\n\n[[region]]\nnmae = \"b\"\n",
+			want:    "a.toml:4: region.nmae: unknown key",
+		},
+		"wrong type": {
+			content: "name = 3\n",
+			want:    "a.toml:1: name: ",
+		},
+		"wrong duration": {
+			content: "name = \"a\"\ntimeout = \"5 apples\"\n",
+			want:    "a.toml:2: timeout: ",
+		},
+		"wrong rate": {
+			content: "[[region]]\nlink = \"fast\"\n",
+			want:    "a.toml:2: region.link: ",
+		},
+		"syntax": {
+			content: "name = \n",
+			want:    "a.toml:1: ",
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			err := document.Decode("a.toml", []byte(test.content), &sample{})
+			assert.ErrorContains(t, err, test.want)
+		})
+	}
+}
+
+func TestLine(t *testing.T) {
+	content := []byte("name = \"a\"\n\n[[region]]\nname = \"b\"\n\n[[region]]\nname = \"c\"\nmax-rate = 3\n")
+	assert.Equal(t, document.Line(content, "name"), 1)
+	assert.Equal(t, document.Line(content, "region[0].name"), 4)
+	assert.Equal(t, document.Line(content, "region[1].max-rate"), 8)
+	assert.Equal(t, document.Line(content, "region[1]"), 6)
+	assert.Equal(t, document.Line(content, "absent"), 0)
+}
--- /dev/null
+++ b/entry/lookup/lookup.go
@@ -0,0 +1,133 @@
+// Package lookup tells callers which entry VMs to use. Answers come from
+// memory alone.
+package lookup
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	teaselv1 "github.com/teaselstack/teaselstack/api/teasel/v1"
+	"github.com/teaselstack/teaselstack/entry/steering"
+	"github.com/teaselstack/teaselstack/intent"
+)
+
+// Server answers look-ups.
+type Server struct {
+	// Configuration returns the newest configuration, or nil.
+	Configuration func() *intent.Configuration
+	// Places ranks the homes of a service's backend servers as a region sees them.
+	Places func(service *intent.Service, region string) []steering.Ranked
+	// Entries lists the entries that can be answered: alive and not stopping.
+	Entries func() []*teaselv1.Member
+	// Issue returns a new ticket.
+	Issue func() string
+	// Region is this entry's own, for callers that no client block covers.
+	Region string
+}
+
+const (
+	// maxEntries is the most entry VMs in an answer.
+	maxEntries = 4
+	// maxTickets is the most tickets in an answer.
+	maxTickets = 64
+)
+
+// Lookup serves one look-up. Errors are of code invalid_argument, not_found or
+// unavailable.
+func (s *Server) Lookup(_ context.Context, request *connect.Request[teaselv1.LookupRequest]) (*connect.Response[teaselv1.LookupResponse], error) {
+	address, err := callerAddress(request.Msg.GetCallerAddress(), request.Peer().Addr)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	if request.Msg.GetTickets() > maxTickets {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errors.Errorf("not run: %d tickets asked, the most is %d", request.Msg.GetTickets(), maxTickets))
+	}
+	answer, err := s.Answer(request.Msg.GetService(), address)
+	if err != nil {
+		return nil, err
+	}
+	for range request.Msg.GetTickets() {
+		answer.Tickets = append(answer.Tickets, s.Issue())
+	}
+	return connect.NewResponse(answer), nil
+}
+
+// Answer computes the answer for a service and a caller.
+func (s *Server) Answer(name string, caller netip.Addr) (*teaselv1.LookupResponse, error) {
+	configuration := s.Configuration()
+	if configuration == nil {
+		return nil, connect.NewError(connect.CodeUnavailable, errors.New("not run: this entry has no configuration yet"))
+	}
+	service := configuration.Service(name)
+	if service == nil {
+		return nil, connect.NewError(connect.CodeNotFound, errors.Errorf("not run: service %q does not exist", name))
+	}
+	region, covered := configuration.Blocks.Region(caller)
+	if !covered {
+		region = s.Region
+	}
+	answer := &teaselv1.LookupResponse{
+		Lifetime:             durationpb.New(time.Duration(configuration.Deployment.Lookup.Lifetime)),
+		ConfigurationVersion: configuration.Version,
+		Reason:               fmt.Sprintf("client block in %s", region),
+	}
+	if !covered {
+		answer.Reason = fmt.Sprintf("no client block covers %s; nearest to %s", caller, region)
+	}
+	answer.Entries = s.order(service, region)
+	return answer, nil
+}
+
+// order lists entries: first those that are homes of the service, by rank, then
+// the others of the region.
+func (s *Server) order(service *intent.Service, region string) []*teaselv1.EntryAddress {
+	members := make(map[string]*teaselv1.Member)
+	var ordered []*teaselv1.EntryAddress
+	for _, member := range s.Entries() {
+		members[member.GetName()] = member
+	}
+	add := func(name string) {
+		member := members[name]
+		if member == nil || len(ordered) >= maxEntries {
+			return
+		}
+		delete(members, name)
+		ordered = append(ordered, &teaselv1.EntryAddress{
+			Name:          member.GetName(),
+			Address:       member.GetCallerAddress(),
+			Region:        member.GetRegion(),
+			FailureDomain: member.GetFailureDomain(),
+		})
+	}
+	for _, ranked := range s.Places(service, region) {
+		if ranked.Allowed {
+			add(ranked.Place.Home)
+		}
+	}
+	for _, member := range s.Entries() {
+		add(member.GetName())
+	}
+	return ordered
+}
+
+func callerAddress(text, peer string) (netip.Addr, error) {
+	if text == "" {
+		host, _, err := net.SplitHostPort(peer)
+		if err != nil {
+			return netip.Addr{}, errors.Errorf("not run: the caller's address is unknown")
+		}
+		text = host
+	}
+	address, err := netip.ParseAddr(text)
+	if err != nil {
+		return netip.Addr{}, errors.Errorf("not run: %q is no IP address", text)
+	}
+	return address, nil
+}
--- /dev/null
+++ b/entry/machine.go
@@ -0,0 +1,387 @@
+package main
+
+import (
+	"context"
+	"crypto/subtle"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+
+	teaselv1 "github.com/teaselstack/teaselstack/api/teasel/v1"
+	"github.com/teaselstack/teaselstack/api/teasel/v1/teaselv1connect"
+	"github.com/teaselstack/teaselstack/entry/configuration"
+	"github.com/teaselstack/teaselstack/entry/dispatch"
+	"github.com/teaselstack/teaselstack/entry/key"
+	"github.com/teaselstack/teaselstack/entry/link"
+	"github.com/teaselstack/teaselstack/entry/lookup"
+	"github.com/teaselstack/teaselstack/entry/membership"
+	"github.com/teaselstack/teaselstack/entry/operator"
+	"github.com/teaselstack/teaselstack/entry/quarantine"
+	"github.com/teaselstack/teaselstack/entry/settings"
+	"github.com/teaselstack/teaselstack/entry/slot"
+	"github.com/teaselstack/teaselstack/entry/steering"
+	"github.com/teaselstack/teaselstack/header"
+	"github.com/teaselstack/teaselstack/intent"
+	"github.com/teaselstack/teaselstack/platform"
+	"github.com/teaselstack/teaselstack/timeline"
+)
+
+// machine is one running entry: its parts, wired together.
+type machine struct {
+	settings   settings.Settings
+	logger     *log.Logger
+	metrics    metrics.Registry
+	started    time.Time
+	stopping   atomic.Bool
+	events     *timeline.Ring
+	keeper     *configuration.Keeper
+	roster     *membership.Roster
+	slots      *slot.Ledger
+	links      *link.Shaper
+	view       *steering.View
+	keys       *key.Register
+	dispatcher *dispatch.Dispatcher
+	lookups    *lookup.Server
+}
+
+const (
+	// platformTimeout bounds one call to the platform.
+	platformTimeout = 10 * time.Second
+	// dialTimeout bounds connecting to a peer or a backend server.
+	dialTimeout = 2 * time.Second
+	// expectTimeout is how long a relayed body waits for its home's slot; the
+	// request's deadline ends the wait earlier.
+	expectTimeout = time.Hour
+	// idleConnections is the most idle connections kept to one host.
+	idleConnections = 64
+)
+
+func newMachine(loaded settings.Settings, logger *log.Logger) *machine {
+	clock := &timeline.Clock{}
+	started := time.Now()
+	m := &machine{
+		settings: loaded,
+		logger:   logger,
+		metrics:  metrics.NewRegistry(),
+		started:  started,
+		events:   timeline.NewRing(loaded.Name, loaded.Limits.TimelineEvents, clock),
+	}
+	service := platform.NewClient(loaded.Platform, &http.Client{
+		Timeout: platformTimeout,
+	}).Platform()
+	m.keeper = &configuration.Keeper{
+		Platform: service,
+		Events:   m.events,
+		Changed:  m.configure,
+	}
+	m.slots = &slot.Ledger{
+		Entry:  loaded.Name,
+		Events: m.events,
+	}
+	m.links = &link.Shaper{
+		Region: loaded.Region,
+	}
+	m.keys = &key.Register{
+		Entry:       loaded.Name,
+		Incarnation: uint64(started.UnixNano()),
+		Table:       service.Table,
+	}
+	m.view = &steering.View{
+		Entry:         loaded.Name,
+		Configuration: m.keeper.Current,
+		Own:           m.slots.Status,
+	}
+	m.roster = m.newRoster(clock)
+	m.view.Peer = m.roster.Peer
+	m.dispatcher = m.newDispatcher()
+	m.lookups = &lookup.Server{
+		Configuration: m.keeper.Current,
+		Places:        m.view.Places,
+		Entries:       m.answerable,
+		Issue:         m.keys.Issue,
+		Region:        loaded.Region,
+	}
+	return m
+}
+
+func (m *machine) newRoster(clock *timeline.Clock) *membership.Roster {
+	client := m.peerClient()
+	self := &teaselv1.Member{
+		Name:            m.settings.Name,
+		Incarnation:     m.keys.Incarnation,
+		Region:          m.settings.Region,
+		FailureDomain:   m.settings.FailureDomain,
+		CallerAddress:   m.settings.CallersAddress,
+		PeerAddress:     m.settings.PeersAddress,
+		OperatorAddress: m.settings.OperatorsAddress,
+	}
+	call := func(ctx context.Context, address string, request *teaselv1.HeartbeatRequest) (*teaselv1.HeartbeatResponse, error) {
+		return teaselv1.NewPeerServiceProtobufClient("http://"+address, client).Heartbeat(ctx, request)
+	}
+	return membership.New(self, call,
+		membership.WithSeeds(m.settings.Peers),
+		membership.WithInterval(time.Duration(m.settings.Limits.HeartbeatInterval)),
+		membership.WithTimeline(clock, m.events),
+		membership.WithPart(m.view.Part()),
+	)
+}
+
+// peerClient returns a client that authenticates itself to peers.
+func (m *machine) peerClient() *http.Client {
+	return &http.Client{
+		Transport: authenticated{
+			key:  m.settings.PeerKey,
+			next: newTransport(),
+		},
+	}
+}
+
+// authenticated adds the peers' key to each call.
+type authenticated struct {
+	key  string
+	next http.RoundTripper
+}
+
+func (a authenticated) RoundTrip(request *http.Request) (*http.Response, error) {
+	request = request.Clone(request.Context())
+	request.Header.Set(header.InternalKey, a.key)
+	return a.next.RoundTrip(request)
+}
+
+func newTransport() *http.Transport {
+	return &http.Transport{
+		DialContext: (&net.Dialer{
+			Timeout: dialTimeout,
+		}).DialContext,
+		MaxIdleConnsPerHost:   idleConnections,
+		IdleConnTimeout:       time.Minute,
+		ExpectContinueTimeout: expectTimeout,
+		DisableCompression:    true,
+	}
+}
+
+func (m *machine) newDispatcher() *dispatch.Dispatcher {
+	return &dispatch.Dispatcher{
+		Entry:         m.settings.Name,
+		Region:        m.settings.Region,
+		PeerKey:       m.settings.PeerKey,
+		MaxDeadline:   time.Duration(m.settings.Limits.MaxDeadline),
+		Configuration: m.keeper.Current,
+		Places:        m.view.Places,
+		PeerAddress:   m.peerAddress,
+		Slots:         m.slots,
+		Links:         m.links,
+		Keys:          m.keys,
+		Quarantine:    &quarantine.List{},
+		Events:        m.events,
+		Metrics:       m.metrics,
+		Backends:      newTransport(),
+		Peers:         newTransport(),
+	}
+}
+
+func (m *machine) peerAddress(name string) string {
+	peer, known := m.roster.Peer(name)
+	if !known {
+		return ""
+	}
+	return peer.Member.GetPeerAddress()
+}
+
+// configure takes a new configuration over in all parts.
+func (m *machine) configure(next *intent.Configuration) {
+	m.slots.Configure(next)
+	m.links.Configure(next)
+	m.roster.Update(func(self *teaselv1.Member) {
+		self.ConfigurationVersion = next.Version
+		self.Stopping = m.stopping.Load() || next.EntryDraining(m.settings.Name)
+	})
+	m.logger.Info().Str("event", "configuration-in-force").Uint64("version", next.Version).Msg("")
+}
+
+// answerable lists the entries that look-ups may name.
+func (m *machine) answerable() []*teaselv1.Member {
+	var members []*teaselv1.Member
+	if self := m.roster.Self(); !self.GetStopping() {
+		members = append(members, self)
+	}
+	for _, peer := range m.roster.Peers() {
+		if peer.State == membership.Alive && !peer.Member.GetStopping() {
+			members = append(members, peer.Member)
+		}
+	}
+	return members
+}
+
+func (m *machine) ready() bool {
+	return m.keeper.Current() != nil && !m.stopping.Load()
+}
+
+// serve runs until ctx is done, then shuts down gracefully.
+func (m *machine) serve(ctx context.Context, opened listeners) error {
+	background, stopBackground := context.WithCancel(context.Background())
+	defer stopBackground()
+	var group sync.WaitGroup
+	group.Go(func() { m.keeper.Run(background) })
+	group.Go(func() { m.roster.Run(background) })
+	failures := make(chan error, 3)
+	servers := []*http.Server{
+		m.newServer(m.callersHandler()),
+		m.newServer(m.peersHandler()),
+		m.newServer(m.operatorsHandler()),
+	}
+	for i, listener := range []net.Listener{opened.callers, opened.peers, opened.operators} {
+		group.Go(func() {
+			if err := servers[i].Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				failures <- err
+			}
+		})
+	}
+	m.logger.Info().Str("event", "serving").Str("callers", m.settings.CallersAddress).Msg("")
+	var failure error
+	select {
+	case <-ctx.Done():
+	case failure = <-failures:
+	}
+	err := m.shutdown(servers)
+	stopBackground()
+	group.Wait()
+	if failure != nil {
+		return failure
+	}
+	return err
+}
+
+// shutdown leaves the look-ups, waits out the answers that callers cache, and
+// lets the requests in flight end.
+func (m *machine) shutdown(servers []*http.Server) error {
+	m.stopping.Store(true)
+	m.roster.Update(func(self *teaselv1.Member) { self.Stopping = true })
+	m.events.Record(timeline.Event{
+		Kind: "entry-stopping",
+	})
+	m.logger.Info().Str("event", "stopping").Msg("")
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(m.settings.Limits.StopTimeout))
+	defer cancel()
+	if current := m.keeper.Current(); current != nil {
+		select {
+		case <-time.After(time.Duration(current.Deployment.Lookup.Lifetime)):
+		case <-ctx.Done():
+		}
+	}
+	err := m.dispatcher.Stop(ctx)
+	for _, server := range servers {
+		if shutdownErr := server.Shutdown(ctx); err == nil {
+			err = shutdownErr
+		}
+	}
+	if err != nil {
+		return errors.Wrap(err, "shut down")
+	}
+	return nil
+}
+
+func (m *machine) newServer(handler http.Handler) *http.Server {
+	limits := m.settings.Limits
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: time.Duration(limits.HeaderTimeout),
+		IdleTimeout:       time.Duration(limits.IdleTimeout),
+		MaxHeaderBytes:    limits.HeaderBytes,
+	}
+}
+
+func (m *machine) callersHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(teaselv1connect.NewLookupServiceHandler(m.lookups, connect.WithReadMaxBytes(m.settings.Limits.HeaderBytes)))
+	mux.HandleFunc("/", m.dispatcher.ServeCaller)
+	return mux
+}
+
+func (m *machine) peersHandler() http.Handler {
+	calls := teaselv1.NewPeerServiceServer(peerServer{
+		machine: m,
+	})
+	return m.keyed(header.InternalKey, m.settings.PeerKey, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(header.InternalServer) != "" {
+			m.dispatcher.ServePeer(w, r)
+			return
+		}
+		calls.ServeHTTP(w, r)
+	}))
+}
+
+// bearerPrefix begins the Authorization header of operators' calls.
+const bearerPrefix = "Bearer "
+
+func (m *machine) operatorsHandler() http.Handler {
+	calls := &operator.Server{
+		Keeper:  m.keeper,
+		Roster:  m.roster,
+		Slots:   m.slots,
+		View:    m.view,
+		Lookup:  m.lookups,
+		Events:  m.events,
+		Started: m.started,
+		Ready:   m.ready,
+	}
+	mux := http.NewServeMux()
+	path, handler := teaselv1connect.NewOperatorServiceHandler(calls)
+	mux.Handle(path, m.keyed("Authorization", bearerPrefix+m.settings.OperatorKey, handler))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("ok\n"))
+	})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !m.ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ready\n"))
+	})
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		metrics.WriteJSONOnce(m.metrics, w)
+	})
+	return mux
+}
+
+// keyed lets calls through whose header holds a key, compared in constant time.
+func (m *machine) keyed(name, key string, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if subtle.ConstantTimeCompare([]byte(r.Header.Get(name)), []byte(key)) != 1 {
+			http.Error(w, "not run: the key is missing or wrong", http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// peerServer answers peers' calls.
+type peerServer struct {
+	machine *machine
+}
+
+// Heartbeat exchanges news with a peer.
+func (p peerServer) Heartbeat(_ context.Context, request *teaselv1.HeartbeatRequest) (*teaselv1.HeartbeatResponse, error) {
+	return p.machine.roster.Answer(request), nil
+}
+
+// FetchConfiguration returns the steps of the configuration after a version.
+func (p peerServer) FetchConfiguration(_ context.Context, request *teaselv1.FetchConfigurationRequest) (*teaselv1.FetchConfigurationResponse, error) {
+	return &teaselv1.FetchConfigurationResponse{
+		Deltas: p.machine.keeper.Steps(request.GetAfter()),
+	}, nil
+}
+
+// Key says what became of a key.
+func (p peerServer) Key(context.Context, *teaselv1.KeyRequest) (*teaselv1.KeyResponse, error) {
+	return &teaselv1.KeyResponse{
+		State: "unknown",
+	}, nil
+}
--- /dev/null
+++ b/publication/collect.go
@@ -0,0 +1,40 @@
+package publication
+
+import (
+	"io/fs"
+	"path"
+	"strings"
+
+	"github.com/go-faster/errors"
+
+	"github.com/teaselstack/teaselstack/intent"
+)
+
+// Collect reads the documents below a directory: deployment.toml, and the files
+// under services/, drains/ and client-blocks/. Other files are passed over.
+func Collect(files fs.FS) ([]intent.Document, error) {
+	var documents []intent.Document
+	err := fs.WalkDir(files, ".", func(name string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !published(name) {
+			return err
+		}
+		content, err := fs.ReadFile(files, name)
+		documents = append(documents, intent.Document{
+			Name:    name,
+			Content: content,
+		})
+		return err
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "collect documents")
+	}
+	return documents, nil
+}
+
+func published(name string) bool {
+	if name == intent.DeploymentDocument || strings.HasPrefix(name, intent.BlockPrefix) {
+		return true
+	}
+	return path.Ext(name) == ".toml" &&
+		(strings.HasPrefix(name, intent.ServicePrefix) || strings.HasPrefix(name, intent.DrainPrefix))
+}
--- /dev/null
+++ b/teaselctl/control/control.go
@@ -0,0 +1,290 @@
+// Package control carries operators' commands to the platform and the entries.
+package control
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/user"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
+	"github.com/pelletier/go-toml/v2"
+
+	teaselv1 "github.com/teaselstack/teaselstack/api/teasel/v1"
+	"github.com/teaselstack/teaselstack/api/teasel/v1/teaselv1connect"
+	"github.com/teaselstack/teaselstack/document"
+	"github.com/teaselstack/teaselstack/intent"
+	"github.com/teaselstack/teaselstack/platform"
+	"github.com/teaselstack/teaselstack/publication"
+	"github.com/teaselstack/teaselstack/timeline"
+)
+
+// Settings is the settings file of teaselctl.
+type Settings struct {
+	Platform    string `toml:"platform"`
+	OperatorKey string `toml:"operator-key"`
+	// Entries are the entries' addresses for operators.
+	Entries []string `toml:"entries"`
+}
+
+// LoadSettings reads and checks a settings file.
+func LoadSettings(file string) (Settings, error) {
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "read settings")
+	}
+	var settings Settings
+	if err := document.Decode(file, content, &settings); err != nil {
+		return Settings{}, err
+	}
+	var faults document.Errors
+	if settings.Platform == "" {
+		faults = append(faults, &document.Error{
+			File:    file,
+			Key:     "platform",
+			Problem: "is missing",
+		})
+	}
+	for _, entry := range settings.Entries {
+		if _, err := netip.ParseAddrPort(entry); err != nil {
+			faults = append(faults, &document.Error{
+				File:    file,
+				Line:    document.Line(content, "entries"),
+				Key:     "entries",
+				Problem: fmt.Sprintf("%q is no IP address with a port", entry),
+			})
+		}
+	}
+	return settings, faults.Err()
+}
+
+// Operator talks to the platform and the entries for one operator.
+type Operator struct {
+	settings  Settings
+	publisher *publication.Publisher
+	client    *http.Client
+}
+
+// callTimeout bounds one call to an entry or the platform.
+const callTimeout = 10 * time.Second
+
+// NewOperator returns an operator with the name of the current user.
+func NewOperator(settings Settings) *Operator {
+	client := &http.Client{
+		Timeout: callTimeout,
+	}
+	return &Operator{
+		settings: settings,
+		client:   client,
+		publisher: &publication.Publisher{
+			Platform: platform.NewClient(settings.Platform, client).Platform(),
+			Author:   author(),
+		},
+	}
+}
+
+func author() string {
+	current, err := user.Current()
+	if err != nil {
+		return "unknown"
+	}
+	return current.Username
+}
+
+// Publish puts documents into force; drains in force stay.
+func (o *Operator) Publish(ctx context.Context, documents []intent.Document) (uint64, error) {
+	current, err := o.publisher.Read(ctx)
+	if err != nil {
+		return 0, err
+	}
+	next := slices.Clone(documents)
+	for _, doc := range current.Documents {
+		if strings.HasPrefix(doc.Name, intent.DrainPrefix) && !named(documents, doc.Name) {
+			next = append(next, doc)
+		}
+	}
+	return o.publisher.Publish(ctx, current, next)
+}
+
+func named(documents []intent.Document, name string) bool {
+	return slices.ContainsFunc(documents, func(doc intent.Document) bool { return doc.Name == name })
+}
+
+// Drain publishes a drain.
+func (o *Operator) Drain(ctx context.Context, drain intent.Drain) (uint64, error) {
+	content, err := toml.Marshal(drain)
+	if err != nil {
+		return 0, errors.Wrap(err, "encode drain")
+	}
+	current, err := o.publisher.Read(ctx)
+	if err != nil {
+		return 0, err
+	}
+	next := slices.DeleteFunc(slices.Clone(current.Documents), func(doc intent.Document) bool {
+		return doc.Name == drainDocument(drain)
+	})
+	next = append(next, intent.Document{
+		Name:    drainDocument(drain),
+		Content: bytes.TrimSpace(content),
+	})
+	return o.publisher.Publish(ctx, current, next)
+}
+
+// Undrain publishes a version without a drain.
+func (o *Operator) Undrain(ctx context.Context, drain intent.Drain) (uint64, error) {
+	current, err := o.publisher.Read(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if !named(current.Documents, drainDocument(drain)) {
+		return 0, errors.Errorf("undrain: no drain of %s %s is in force", drain.Kind, drain.Name)
+	}
+	next := slices.DeleteFunc(slices.Clone(current.Documents), func(doc intent.Document) bool {
+		return doc.Name == drainDocument(drain)
+	})
+	return o.publisher.Publish(ctx, current, next)
+}
+
+func drainDocument(drain intent.Drain) string {
+	name := string(drain.Kind) + "-" + drain.Name
+	if drain.Service != "" {
+		name += "-" + drain.Service
+	}
+	return intent.DrainPrefix + name + ".toml"
+}
+
+// EntryStatus is one entry's answer, or why there is none.
+type EntryStatus struct {
+	Address string                   `json:"address"`
+	Status  *teaselv1.StatusResponse `json:"status,omitempty"`
+	Problem string                   `json:"problem,omitempty"`
+}
+
+// Status asks all entries at once.
+func (o *Operator) Status(ctx context.Context) []EntryStatus {
+	statuses := make([]EntryStatus, len(o.settings.Entries))
+	var group sync.WaitGroup
+	for i, address := range o.settings.Entries {
+		group.Go(func() {
+			statuses[i].Address = address
+			response, err := o.entry(address).Status(ctx, authorized(o, &teaselv1.StatusRequest{}))
+			if err != nil {
+				statuses[i].Problem = err.Error()
+				return
+			}
+			statuses[i].Status = response.Msg
+		})
+	}
+	group.Wait()
+	return statuses
+}
+
+func (o *Operator) entry(address string) teaselv1connect.OperatorServiceClient {
+	return teaselv1connect.NewOperatorServiceClient(o.client, "http://"+address)
+}
+
+func authorized[T any](o *Operator, message *T) *connect.Request[T] {
+	request := connect.NewRequest(message)
+	request.Header().Set("Authorization", "Bearer "+o.settings.OperatorKey)
+	return request
+}
+
+// waitInterval is the time between two looks at the versions in force.
+const waitInterval = 100 * time.Millisecond
+
+// WaitInForce waits until all entries have a version in force, and returns how
+// long that took. The error names the entries that lack it.
+func (o *Operator) WaitInForce(ctx context.Context, version uint64) (time.Duration, error) {
+	began := time.Now()
+	for {
+		lacking := o.lacking(ctx, version)
+		if len(lacking) == 0 {
+			return time.Since(began), nil
+		}
+		select {
+		case <-ctx.Done():
+			return 0, errors.Errorf("version %d is not in force on %s", version, strings.Join(lacking, ", "))
+		case <-time.After(waitInterval):
+		}
+	}
+}
+
+func (o *Operator) lacking(ctx context.Context, version uint64) []string {
+	var lacking []string
+	for _, each := range o.Status(ctx) {
+		if each.Status.GetConfigurationVersion() < version {
+			lacking = append(lacking, each.Address)
+		}
+	}
+	return lacking
+}
+
+// Explain asks the first entry that answers.
+func (o *Operator) Explain(ctx context.Context, service, caller string) (*teaselv1.ExplainResponse, error) {
+	failure := errors.New("no entries in the settings")
+	for _, address := range o.settings.Entries {
+		response, err := o.entry(address).Explain(ctx, authorized(o, &teaselv1.ExplainRequest{
+			Service:       service,
+			CallerAddress: caller,
+		}))
+		if err == nil {
+			return response.Msg, nil
+		}
+		failure = err
+	}
+	return nil, failure
+}
+
+// Timeline merges the events of all entries, and names the entries that did
+// not answer.
+func (o *Operator) Timeline(ctx context.Context, request *teaselv1.TimelineRequest) (events []timeline.Event, missing []string) {
+	lists := make([][]timeline.Event, len(o.settings.Entries))
+	silent := make([]bool, len(o.settings.Entries))
+	var group sync.WaitGroup
+	for i, address := range o.settings.Entries {
+		group.Go(func() {
+			response, err := o.entry(address).Timeline(ctx, authorized(o, request))
+			if err != nil {
+				silent[i] = true
+				return
+			}
+			lists[i] = eventsOf(response.Msg)
+		})
+	}
+	group.Wait()
+	for i, address := range o.settings.Entries {
+		if silent[i] {
+			missing = append(missing, address)
+		}
+	}
+	return timeline.Merge(lists...), missing
+}
+
+func eventsOf(response *teaselv1.TimelineResponse) []timeline.Event {
+	var events []timeline.Event
+	for _, event := range response.GetEvents() {
+		events = append(events, timeline.Event{
+			Time: timeline.Time{
+				Wall:    event.GetWallNs(),
+				Logical: event.GetLogical(),
+			},
+			Entry:    event.GetEntry(),
+			Sequence: event.GetSequence(),
+			Kind:     event.GetKind(),
+			Service:  event.GetService(),
+			Server:   event.GetServer(),
+			Key:      event.GetKey(),
+			Version:  event.GetVersion(),
+			Detail:   event.GetDetail(),
+		})
+	}
+	return events
+}
--- /dev/null
+++ b/timeline/timeline.go
@@ -0,0 +1,165 @@
+// Package timeline records what an entry did and why, in bounded memory, under
+// a hybrid logical clock, so that the events of all processes merge into one
+// causal order.
+//
+// The clock is that of Kulkarni and others, "Logical Physical Clocks and
+// Consistent Snapshots in Globally Distributed Databases" (2014).
+package timeline
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Event is one thing that a process did.
+type Event struct {
+	Time     Time
+	Entry    string
+	Sequence uint64
+	// Kind is a kebab-case name such as slot-takeover.
+	Kind    string
+	Service string
+	Server  string
+	Key     string
+	// Version is a configuration version, 0 where none matters.
+	Version uint64
+	Detail  string
+}
+
+// Time is one reading of the hybrid logical clock.
+type Time struct {
+	Wall    int64
+	Logical uint32
+}
+
+// Compare orders two readings.
+func (t Time) Compare(other Time) int {
+	if order := cmp.Compare(t.Wall, other.Wall); order != 0 {
+		return order
+	}
+	return cmp.Compare(t.Logical, other.Logical)
+}
+
+// Clock is a hybrid logical clock. The zero value is ready for use.
+type Clock struct {
+	mu   sync.Mutex
+	last Time
+}
+
+// Now returns a reading above every earlier one.
+func (c *Clock) Now() Time {
+	return c.Observe(Time{})
+}
+
+// Observe returns a reading above every earlier one and above a peer's.
+func (c *Clock) Observe(peer Time) Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	highest := c.last
+	if peer.Compare(highest) > 0 {
+		highest = peer
+	}
+	wall := time.Now().UnixNano()
+	if wall > highest.Wall {
+		c.last = Time{
+			Wall: wall,
+		}
+		return c.last
+	}
+	c.last = Time{
+		Wall:    highest.Wall,
+		Logical: highest.Logical + 1,
+	}
+	return c.last
+}
+
+// Ring keeps the newest events of one process.
+type Ring struct {
+	clock *Clock
+	entry string
+
+	mu      sync.Mutex
+	events  []Event
+	next    int
+	written uint64
+}
+
+// NewRing returns a ring that keeps up to size events of an entry.
+func NewRing(entry string, size int, clock *Clock) *Ring {
+	return &Ring{
+		clock:  clock,
+		entry:  entry,
+		events: make([]Event, 0, size),
+	}
+}
+
+// Record stamps an event and keeps it, dropping the oldest when full. A nil
+// ring records nothing.
+func (r *Ring) Record(event Event) {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	event.Time = r.clock.Now()
+	event.Entry = r.entry
+	r.written++
+	event.Sequence = r.written
+	if len(r.events) < cap(r.events) {
+		r.events = append(r.events, event)
+		return
+	}
+	r.events[r.next] = event
+	r.next = (r.next + 1) % len(r.events)
+}
+
+// Filter selects events; empty fields match all.
+type Filter struct {
+	Key     string
+	Service string
+	Server  string
+	Version uint64
+	Limit   int
+}
+
+func (f Filter) matches(event Event) bool {
+	return (f.Key == "" || f.Key == event.Key) &&
+		(f.Service == "" || f.Service == event.Service) &&
+		(f.Server == "" || f.Server == event.Server) &&
+		(f.Version == 0 || f.Version == event.Version)
+}
+
+// Select returns the newest matching events, oldest first, and how many events
+// the ring has dropped since it began.
+func (r *Ring) Select(filter Filter) ([]Event, uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var selected []Event
+	for i := range r.events {
+		event := r.events[(r.next+i)%len(r.events)]
+		if filter.matches(event) {
+			selected = append(selected, event)
+		}
+	}
+	if filter.Limit > 0 && len(selected) > filter.Limit {
+		selected = selected[len(selected)-filter.Limit:]
+	}
+	return selected, r.written - uint64(len(r.events))
+}
+
+// Merge puts events of several processes into one causal order.
+func Merge(lists ...[]Event) []Event {
+	merged := slices.Concat(lists...)
+	slices.SortFunc(merged, func(a, b Event) int {
+		if order := a.Time.Compare(b.Time); order != 0 {
+			return order
+		}
+		if order := cmp.Compare(a.Entry, b.Entry); order != 0 {
+			return order
+		}
+		return cmp.Compare(a.Sequence, b.Sequence)
+	})
+	return merged
+}
