--- a/document/document.go
+++ b/document/document.go
@@ -15,10 +15,10 @@
 // Error is a fault in a document. Line counts from 1; 0 means that the fault
 // belongs to no line.
 type Error struct {
-	File    string
-	Line    int
-	Key     string
-	Problem string
+	File    string `json:"file"`
+	Line    int    `json:"line,omitempty"`
+	Key     string `json:"key,omitempty"`
+	Problem string `json:"problem"`
 }
 
 // Error gives the fault as file:line: key: problem.
--- a/entry/configuration/configuration.go
+++ b/entry/configuration/configuration.go
@@ -1,9 +1,12 @@
 // Package configuration holds the newest configuration an entry knows, which
 // only ever goes to a higher version, and hands its steps to peers.
+//
+// A few entries ask the platform's table. The others hear of a newer version
+// with the heartbeats and fetch the steps from the peer that has it, so that
+// the store's load grows with the failure domains and not with the entries.
 package configuration
 
 import (
-	"context"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -22,27 +25,66 @@
 type Keeper struct {
 	// Platform is where new versions are looked for.
 	Platform platform.Platform
+	// Fetch asks a peer for the steps after a version; nil where there are none.
+	Fetch Fetch
+	// AsksPlatform reports whether this entry is one of those that ask the
+	// platform; nil stands for always. An entry without a configuration asks.
+	AsksPlatform func() bool
+	// Introduced reports whether all known peers were asked once for the version
+	// they have; nil stands for yes.
+	Introduced func() bool
 	// Events takes the steps of the configuration; it may be nil.
 	Events *timeline.Ring
 	// Changed is called after each step, in version order; it may be nil.
 	Changed func(*intent.Configuration)
 
-	current atomic.Pointer[intent.Configuration]
+	current   atomic.Pointer[intent.Configuration]
+	announced announcements
+	// settled is set once the entry may serve.
+	settled atomic.Bool
+	// reachable says whether the platform answered last time.
+	reachable atomic.Bool
+	// behind is set while the platform's version is below the entry's.
+	behind atomic.Bool
 
 	mu        sync.Mutex
 	documents []intent.Document
-	// reachable says whether the platform answered last time.
-	reachable atomic.Bool
+	newest    *teaselv1.Delta
+	recent    chain
 }
 
-// pollInterval is how often an entry asks the table for a newer version.
-const pollInterval = time.Second
-
 // Current returns the newest configuration, or nil before the first.
 func (k *Keeper) Current() *intent.Configuration {
 	return k.current.Load()
 }
 
+// Serving returns the configuration that requests are decided by. It is nil
+// while the entry starts: until it has the newest version that the platform,
+// or else its peers, can tell of.
+func (k *Keeper) Serving() *intent.Configuration {
+	if !k.settled.Load() {
+		return nil
+	}
+	return k.Current()
+}
+
+// settle lets the entry serve once nothing newer can be learned. The platform
+// knows the newest version; without it, each peer has to be asked.
+func (k *Keeper) settle(head uint64, fromPlatform bool) {
+	known := max(head, k.announced.highest())
+	if k.settled.Load() || k.Current() == nil || k.Version() < known {
+		return
+	}
+	if fromPlatform || k.Introduced == nil || k.Introduced() {
+		k.settled.Store(true)
+		k.Events.Record(timeline.Event{
+			Kind:    "configuration-settled",
+			Version: k.Version(),
+			Detail:  fmt.Sprintf("platform=%t", fromPlatform),
+		})
+	}
+}
+
 // Version returns the newest version, 0 before the first.
 func (k *Keeper) Version() uint64 {
 	if current := k.Current(); current != nil {
@@ -56,77 +98,77 @@
 	return k.reachable.Load()
 }
 
-// Run looks for new versions until ctx is done.
-func (k *Keeper) Run(ctx context.Context) {
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
-	for {
-		_ = k.Poll(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
+// Apply takes consecutive steps over, oldest first, and puts the last of them
+// in force. Steps to versions that are not above the current one are passed
+// over; one whose parent is missing is an error, and nothing changes.
+func (k *Keeper) Apply(steps []*teaselv1.Delta, source string) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	version, documents := k.Version(), k.documents
+	taken := make([]*teaselv1.Delta, 0, len(steps))
+	for _, step := range steps {
+		if step.GetVersion() <= version {
+			continue
 		}
+		if step.GetParent() != 0 && step.GetParent() != version {
+			return errors.Errorf("apply version %d: its parent is %d, the current version is %d",
+				step.GetVersion(), step.GetParent(), version)
+		}
+		documents = publication.Apply(documents, step)
+		version = step.GetVersion()
+		taken = append(taken, step)
 	}
-}
-
-// Poll asks the platform once and takes a newer version over.
-func (k *Keeper) Poll(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, 5*pollInterval)
-	defer cancel()
-	head, _, err := publication.ReadHead(ctx, k.Platform.Table)
-	k.reachable.Store(err == nil || errors.Is(err, platform.ErrNotFound))
-	if err != nil {
-		return err
-	}
-	if head.GetVersion() <= k.Version() {
+	if len(taken) == 0 {
 		return nil
 	}
-	delta, err := publication.ReadDelta(ctx, k.Platform.Objects, head.GetSnapshotObject())
+	next, err := intent.Recompile(k.Current(), k.documents, version, documents)
 	if err != nil {
-		return err
+		return errors.Wrapf(err, "apply version %d", version)
 	}
-	return k.Apply(delta, "platform")
+	k.advance(next)
+	k.documents = documents
+	k.newest = taken[len(taken)-1]
+	k.recent.add(taken)
+	k.record(next.Version, source)
+	if k.Changed != nil {
+		k.Changed(next)
+	}
+	return nil
 }
 
-// Apply takes a step over. A step to a version that is not above the current
-// one is passed over; one whose parent is not the current version is an error.
-func (k *Keeper) Apply(delta *teaselv1.Delta, source string) error {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if delta.GetVersion() <= k.Version() {
-		return nil
+// advance puts a configuration in force. That versions only grow is an
+// invariant of the system: an entry that broke it could undo a drain.
+func (k *Keeper) advance(next *intent.Configuration) {
+	if next.Version <= k.Version() {
+		panic(fmt.Sprintf("configuration: step from version %d back to %d", k.Version(), next.Version))
 	}
-	if delta.GetParent() != 0 && delta.GetParent() != k.Version() {
-		return errors.Errorf("apply version %d: its parent is %d, the current version is %d",
-			delta.GetVersion(), delta.GetParent(), k.Version())
-	}
-	documents := publication.Apply(k.documents, delta)
-	next, err := intent.Compile(delta.GetVersion(), documents)
-	if err != nil {
-		return errors.Wrapf(err, "apply version %d", delta.GetVersion())
-	}
-	k.documents = documents
 	k.current.Store(next)
+}
+
+func (k *Keeper) record(version uint64, source string) {
+	age := time.Since(time.Unix(0, k.newest.GetPublishedNs()))
 	k.Events.Record(timeline.Event{
 		Kind:    "configuration-in-force",
-		Version: next.Version,
-		Detail:  fmt.Sprintf("from=%s age=%s", source, time.Since(time.Unix(0, delta.GetPublishedNs())).Round(time.Millisecond)),
+		Version: version,
+		Detail:  fmt.Sprintf("from=%s age=%s", source, age.Round(time.Millisecond)),
 	})
-	if k.Changed != nil {
-		k.Changed(next)
-	}
-	return nil
 }
 
-// Steps returns the deltas after a version, oldest first.
+// Steps returns the steps after a version, oldest first: deltas where the
+// entry still has them, else the whole configuration without parent.
 func (k *Keeper) Steps(after uint64) []*teaselv1.Delta {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.Version() <= after {
 		return nil
 	}
+	if steps := k.recent.since(after); steps != nil {
+		return steps
+	}
 	snapshot := publication.Difference(nil, k.documents)
 	snapshot.Version = k.Version()
+	snapshot.PublishId = k.newest.GetPublishId()
+	snapshot.PublishedNs = k.newest.GetPublishedNs()
+	snapshot.Author = k.newest.GetAuthor()
 	return []*teaselv1.Delta{snapshot}
 }
--- a/entry/machine.go
+++ b/entry/machine.go
@@ -49,6 +49,7 @@
 	keys       *key.Register
 	dispatcher *dispatch.Dispatcher
 	lookups    *lookup.Server
+	peers      *http.Client
 }
 
 const (
@@ -73,13 +74,17 @@
 		started:  started,
 		events:   timeline.NewRing(loaded.Name, loaded.Limits.TimelineEvents, clock),
 	}
+	m.peers = m.peerClient()
 	service := platform.NewClient(loaded.Platform, &http.Client{
 		Timeout: platformTimeout,
 	}).Platform()
 	m.keeper = &configuration.Keeper{
-		Platform: service,
-		Events:   m.events,
-		Changed:  m.configure,
+		Platform:     service,
+		Fetch:        m.fetchConfiguration,
+		AsksPlatform: func() bool { return m.roster.First() },
+		Introduced:   func() bool { return m.roster.Introduced() },
+		Events:       m.events,
+		Changed:      m.configure,
 	}
 	m.slots = &slot.Ledger{
 		Entry:  loaded.Name,
@@ -102,7 +107,7 @@
 	m.view.Peer = m.roster.Peer
 	m.dispatcher = m.newDispatcher()
 	m.lookups = &lookup.Server{
-		Configuration: m.keeper.Current,
+		Configuration: m.keeper.Serving,
 		Places:        m.view.Places,
 		Entries:       m.answerable,
 		Issue:         m.keys.Issue,
@@ -112,7 +117,7 @@
 }
 
 func (m *machine) newRoster(clock *timeline.Clock) *membership.Roster {
-	client := m.peerClient()
+	client := m.peers
 	self := &teaselv1.Member{
 		Name:            m.settings.Name,
 		Incarnation:     m.keys.Incarnation,
@@ -130,9 +135,22 @@
 		membership.WithInterval(time.Duration(m.settings.Limits.HeartbeatInterval)),
 		membership.WithTimeline(clock, m.events),
 		membership.WithPart(m.view.Part()),
+		membership.WithPart(m.keeper.Part()),
 	)
 }
 
+// fetchConfiguration asks a peer for the steps after a version.
+func (m *machine) fetchConfiguration(ctx context.Context, address string, after uint64) ([]*teaselv1.Delta, error) {
+	response, err := teaselv1.NewPeerServiceProtobufClient("http://"+address, m.peers).
+		FetchConfiguration(ctx, &teaselv1.FetchConfigurationRequest{
+			After: after,
+		})
+	if err != nil {
+		return nil, errors.Wrap(err, "fetch configuration")
+	}
+	return response.GetDeltas(), nil
+}
+
 // peerClient returns a client that authenticates itself to peers.
 func (m *machine) peerClient() *http.Client {
 	return &http.Client{
@@ -173,7 +191,7 @@
 		Region:        m.settings.Region,
 		PeerKey:       m.settings.PeerKey,
 		MaxDeadline:   time.Duration(m.settings.Limits.MaxDeadline),
-		Configuration: m.keeper.Current,
+		Configuration: m.keeper.Serving,
 		Places:        m.view.Places,
 		PeerAddress:   m.peerAddress,
 		Slots:         m.slots,
@@ -188,11 +206,7 @@
 }
 
 func (m *machine) peerAddress(name string) string {
-	peer, known := m.roster.Peer(name)
-	if !known {
-		return ""
-	}
-	return peer.Member.GetPeerAddress()
+	return m.roster.Address(name)
 }
 
 // configure takes a new configuration over in all parts.
@@ -212,16 +226,16 @@
 	if self := m.roster.Self(); !self.GetStopping() {
 		members = append(members, self)
 	}
-	for _, peer := range m.roster.Peers() {
-		if peer.State == membership.Alive && !peer.Member.GetStopping() {
-			members = append(members, peer.Member)
+	for _, peer := range m.roster.AliveMembers() {
+		if !peer.GetStopping() {
+			members = append(members, peer)
 		}
 	}
 	return members
 }
 
 func (m *machine) ready() bool {
-	return m.keeper.Current() != nil && !m.stopping.Load()
+	return m.keeper.Serving() != nil && !m.stopping.Load()
 }
 
 // serve runs until ctx is done, then shuts down gracefully.
--- a/entry/membership/membership.go
+++ b/entry/membership/membership.go
@@ -1,5 +1,13 @@
 // Package membership keeps an entry's view of its peers by heartbeats, and
 // carries the news of other packages with them.
+//
+// A small deployment is a full mesh: every entry hears every other. Beyond
+// MeshLimit peers an entry watches the next ones of its failure domain in hash
+// order, and a few relays of each failure domain exchange with those of the
+// others. Member records travel as deltas, and are repaired by digests. The
+// claims of death and their refutation are those of Das, Gupta and Motivala,
+// "SWIM: Scalable Weakly-consistent Infection-style Process Group Membership
+// Protocol" (2002).
 package membership
 
 import (
@@ -9,6 +17,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	teaselv1 "github.com/teaselstack/teaselstack/api/teasel/v1"
 	"github.com/teaselstack/teaselstack/timeline"
 )
@@ -21,7 +31,8 @@
 	Alive   State = "alive"
 	Suspect State = "suspect"
 	Dead    State = "dead"
-	// Cut means that the peer's whole failure domain is silent.
+	// Cut means that the peer's whole failure domain is silent, while nothing
+	// says that the peer itself died.
 	Cut State = "cut"
 )
 
@@ -33,6 +44,17 @@
 	Heard time.Time
 	// RoundTrip is the last heartbeat's.
 	RoundTrip time.Duration
+
+	// watchedSince is when heartbeats to the peer began.
+	watchedSince time.Time
+	// direct is set once the peer was heard itself.
+	direct bool
+	// dead is a claim that the member of this incarnation and sequence is dead.
+	dead bool
+	// heardBy names peers that say they hear this one, and when they said so.
+	heardBy map[string]time.Time
+	// revision is the roster's when the record last changed.
+	revision uint64
 }
 
 // Part lets another package send its news with the heartbeats. A nil function
@@ -51,19 +73,38 @@
 
 // Roster is the set of peers of one entry.
 type Roster struct {
-	call     Call
-	interval time.Duration
-	clock    *timeline.Clock
-	events   *timeline.Ring
-	parts    []Part
-	seeds    []string
+	call       Call
+	interval   time.Duration
+	clock      *timeline.Clock
+	events     *timeline.Ring
+	parts      []Part
+	seeds      []string
+	meshLimit  int
+	partners   func() []string
+	listed     func(name string) (gone, known bool)
+	superseded func(incarnation uint64)
 
 	mu    sync.Mutex
 	self  *teaselv1.Member
 	peers map[string]*Peer
-	// tasks holds the addresses that have a heartbeat task.
-	tasks map[string]bool
-	group sync.WaitGroup
+	// links holds what a pair of entries has exchanged, by the peer's name.
+	links map[string]*link
+	// revision counts changes of records; selfRevision is that of the own one.
+	revision     uint64
+	selfRevision uint64
+	pulses       map[string]*pulse
+	cutDomains   map[string]time.Time
+	index        index
+	// distant is the relay of another failure domain exchanged with at present.
+	distant      *teaselv1.Member
+	distantSince time.Time
+	// alive is the answer of AliveMembers, nil after a change.
+	alive []*teaselv1.Member
+	// tasks holds the heartbeat tasks by address.
+	tasks map[string]*task
+	// unasked holds the seeds whose first heartbeat has not ended.
+	unasked map[string]bool
+	group   sync.WaitGroup
 }
 
 // Option sets up a Roster.
@@ -92,130 +133,61 @@
 	}
 }
 
+// WithMeshLimit sets up to how many peers every peer is heard directly.
+func WithMeshLimit(peers int) Option {
+	return func(r *Roster) { r.meshLimit = peers }
+}
+
+// WithPartners names peers that are heard directly whatever the size: homes
+// and deputies of the same backend servers.
+func WithPartners(names func() []string) Option {
+	return func(r *Roster) { r.partners = names }
+}
+
+// WithListed asks the platform's list of VMs, which lags: whether it says that
+// an entry is gone, and whether it knows it at all.
+func WithListed(listed func(name string) (gone, known bool)) Option {
+	return func(r *Roster) { r.listed = listed }
+}
+
+// WithSuperseded is called when a process with a higher incarnation has this
+// entry's seat.
+func WithSuperseded(superseded func(incarnation uint64)) Option {
+	return func(r *Roster) { r.superseded = superseded }
+}
+
 const (
 	defaultInterval = 500 * time.Millisecond
-	// suspectAfter and deadAfter are counted in heartbeat intervals.
-	suspectAfter = 4
-	deadAfter    = 10
-	// attemptTimeouts bounds one heartbeat, in intervals.
-	attemptTimeouts = 3
+	// defaultMeshLimit is how many peers an entry hears directly, all of them.
+	defaultMeshLimit = 16
 )
 
 // New returns the roster of an entry, without peers yet.
 func New(self *teaselv1.Member, call Call, options ...Option) *Roster {
 	roster := &Roster{
-		call:     call,
-		interval: defaultInterval,
-		clock:    &timeline.Clock{},
-		self:     self,
-		peers:    make(map[string]*Peer),
-		tasks:    make(map[string]bool),
+		call:       call,
+		interval:   defaultInterval,
+		meshLimit:  defaultMeshLimit,
+		clock:      &timeline.Clock{},
+		self:       self,
+		peers:      make(map[string]*Peer),
+		links:      make(map[string]*link),
+		pulses:     make(map[string]*pulse),
+		cutDomains: make(map[string]time.Time),
+		tasks:      make(map[string]*task),
+		unasked:    make(map[string]bool),
+		revision:   1,
 	}
+	roster.selfRevision = roster.revision
 	for _, option := range options {
 		option(roster)
 	}
-	return roster
-}
-
-// Run sends heartbeats, one task for each peer, until ctx is done.
-func (r *Roster) Run(ctx context.Context) {
-	for _, address := range r.seeds {
-		r.start(ctx, address)
-	}
-	ticker := time.NewTicker(r.interval)
-	defer ticker.Stop()
-	for {
-		r.judge()
-		for _, peer := range r.Peers() {
-			r.start(ctx, peer.Member.GetPeerAddress())
+	for _, address := range roster.seeds {
+		if address != self.GetPeerAddress() {
+			roster.unasked[address] = true
 		}
-		select {
-		case <-ctx.Done():
-			r.group.Wait()
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
-func (r *Roster) start(ctx context.Context, address string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if address == "" || address == r.self.GetPeerAddress() || r.tasks[address] {
-		return
 	}
-	r.tasks[address] = true
-	r.group.Go(func() { r.heartbeats(ctx, address) })
-}
-
-func (r *Roster) heartbeats(ctx context.Context, address string) {
-	ticker := time.NewTicker(r.interval)
-	defer ticker.Stop()
-	for {
-		r.heartbeat(ctx, address)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
-func (r *Roster) heartbeat(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeouts*r.interval)
-	defer cancel()
-	now := r.clock.Now()
-	request := &teaselv1.HeartbeatRequest{
-		Sender:       r.Self(),
-		ClockWallNs:  now.Wall,
-		ClockLogical: now.Logical,
-		Membership:   r.news(),
-	}
-	if peer := r.byAddress(address); peer != nil {
-		for _, part := range r.parts {
-			if part.Ask != nil {
-				part.Ask(peer, request)
-			}
-		}
-	}
-	sent := time.Now()
-	response, err := r.call(ctx, address, request)
-	if err != nil {
-		return
-	}
-	r.clock.Observe(timeline.Time{
-		Wall:    response.GetClockWallNs(),
-		Logical: response.GetClockLogical(),
-	})
-	r.heard(response.GetReceiver(), time.Since(sent))
-	r.merge(response.GetMembership())
-	for _, part := range r.parts {
-		if part.Learn != nil {
-			part.Learn(sent, response)
-		}
-	}
-}
-
-// Answer serves a peer's heartbeat.
-func (r *Roster) Answer(request *teaselv1.HeartbeatRequest) *teaselv1.HeartbeatResponse {
-	now := r.clock.Observe(timeline.Time{
-		Wall:    request.GetClockWallNs(),
-		Logical: request.GetClockLogical(),
-	})
-	r.heard(request.GetSender(), 0)
-	r.merge(request.GetMembership())
-	response := &teaselv1.HeartbeatResponse{
-		Receiver:     r.Self(),
-		ClockWallNs:  now.Wall,
-		ClockLogical: now.Logical,
-		Membership:   r.news(),
-	}
-	for _, part := range r.parts {
-		if part.Answer != nil {
-			part.Answer(request, response)
-		}
-	}
-	return response
+	return roster
 }
 
 // Self returns the entry's own record.
@@ -225,29 +197,29 @@
 	return r.self
 }
 
-// Update changes the entry's own record through a copy.
+// Update changes the entry's own record through a copy. A change of the
+// configuration version alone is told to direct peers only, so that a
+// publication does not renew all records everywhere.
 func (r *Roster) Update(change func(*teaselv1.Member)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	next := copyMember(r.self)
+	next := proto.CloneOf(r.self)
 	change(next)
-	next.Sequence++
+	spread := proto.CloneOf(next)
+	spread.ConfigurationVersion = r.self.GetConfigurationVersion()
+	if !proto.Equal(spread, r.self) {
+		r.revision++
+		r.selfRevision = r.revision
+		next.Sequence++
+	}
 	r.self = next
 }
 
-func copyMember(m *teaselv1.Member) *teaselv1.Member {
-	return &teaselv1.Member{
-		Name:                 m.GetName(),
-		Incarnation:          m.GetIncarnation(),
-		Region:               m.GetRegion(),
-		FailureDomain:        m.GetFailureDomain(),
-		CallerAddress:        m.GetCallerAddress(),
-		PeerAddress:          m.GetPeerAddress(),
-		OperatorAddress:      m.GetOperatorAddress(),
-		Sequence:             m.GetSequence(),
-		Stopping:             m.GetStopping(),
-		ConfigurationVersion: m.GetConfigurationVersion(),
-	}
+// Introduced reports whether every seed was asked once.
+func (r *Roster) Introduced() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.unasked) == 0
 }
 
 // Peers returns a copy of all peers, in name order.
@@ -264,115 +236,45 @@
 	return peers
 }
 
-// Peer returns a copy of a peer by name, and whether it is known.
-func (r *Roster) Peer(name string) (Peer, bool) {
+// AliveMembers returns the records of all peers that are alive, in name order.
+// The slice is shared and must not be changed.
+func (r *Roster) AliveMembers() []*teaselv1.Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	peer, known := r.peers[name]
-	if !known {
-		return Peer{}, false
+	if r.alive != nil {
+		return r.alive
 	}
-	return *peer, true
-}
-
-func (r *Roster) byAddress(address string) *teaselv1.Member {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	r.alive = []*teaselv1.Member{}
 	for _, peer := range r.peers {
-		if peer.Member.GetPeerAddress() == address {
-			return peer.Member
+		if peer.State == Alive {
+			r.alive = append(r.alive, peer.Member)
 		}
 	}
-	return nil
+	slices.SortFunc(r.alive, byName)
+	return r.alive
 }
 
-// heard takes a member's own word over.
-func (r *Roster) heard(member *teaselv1.Member, roundTrip time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if member.GetName() == "" || member.GetName() == r.self.GetName() {
-		return
-	}
-	peer := r.take(member)
-	if peer.Member.GetIncarnation() != member.GetIncarnation() {
-		return
-	}
-	peer.Heard = time.Now()
-	if roundTrip > 0 {
-		peer.RoundTrip = roundTrip
-	}
-	r.setState(peer, Alive)
+func byName(a, b *teaselv1.Member) int {
+	return strings.Compare(a.GetName(), b.GetName())
 }
 
-// merge takes over what a peer says of others.
-func (r *Roster) merge(delta *teaselv1.MembershipDelta) {
+// Peer returns a copy of a peer by name, and whether it is known.
+func (r *Roster) Peer(name string) (Peer, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, member := range delta.GetMembers() {
-		if member.GetName() != r.self.GetName() {
-			r.take(member)
-		}
-	}
-}
-
-// take returns the peer of a member's name, brought up to the newer of the two
-// records. The caller holds the lock.
-func (r *Roster) take(member *teaselv1.Member) *Peer {
-	peer, known := r.peers[member.GetName()]
+	peer, known := r.peers[name]
 	if !known {
-		peer = &Peer{
-			Member: member,
-			State:  Suspect,
-			Heard:  time.Now(),
-		}
-		r.peers[member.GetName()] = peer
-		return peer
-	}
-	if newer(member, peer.Member) {
-		peer.Member = member
-	}
-	return peer
-}
-
-func newer(a, b *teaselv1.Member) bool {
-	if a.GetIncarnation() != b.GetIncarnation() {
-		return a.GetIncarnation() > b.GetIncarnation()
-	}
-	return a.GetSequence() > b.GetSequence()
-}
-
-// news returns what the entry knows of its peers.
-func (r *Roster) news() *teaselv1.MembershipDelta {
-	delta := &teaselv1.MembershipDelta{}
-	for _, peer := range r.Peers() {
-		delta.Members = append(delta.Members, peer.Member)
+		return Peer{}, false
 	}
-	return delta
+	return *peer, true
 }
 
-// judge updates the states of silent peers.
-func (r *Roster) judge() {
+// Address returns the peers' address of an entry, or "".
+func (r *Roster) Address(name string) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, peer := range r.peers {
-		silence := time.Since(peer.Heard)
-		switch {
-		case silence > deadAfter*r.interval:
-			r.setState(peer, Dead)
-		case silence > suspectAfter*r.interval:
-			r.setState(peer, Suspect)
-		}
+	if peer := r.peers[name]; peer != nil {
+		return peer.Member.GetPeerAddress()
 	}
-}
-
-// setState changes a peer's state. The caller holds the lock.
-func (r *Roster) setState(peer *Peer, state State) {
-	if peer.State == state {
-		return
-	}
-	peer.State = state
-	r.events.Record(timeline.Event{
-		Kind:   "member-" + string(state),
-		Detail: "entry=" + peer.Member.GetName(),
-	})
+	return ""
 }
--- a/intent/compile.go
+++ b/intent/compile.go
@@ -1,6 +1,7 @@
 package intent
 
 import (
+	"bytes"
 	"fmt"
 	"net/netip"
 	"path"
@@ -53,6 +54,12 @@
 // configuration they make. Every fault found is in the error, a
 // document.Errors.
 func Compile(version uint64, documents []Document) (*Configuration, error) {
+	return Recompile(nil, nil, version, documents)
+}
+
+// Recompile is Compile for a step from a configuration that was compiled from
+// known documents: parts whose documents are the same are taken over.
+func Recompile(previous *Configuration, known []Document, version uint64, documents []Document) (*Configuration, error) {
 	compile := &compiler{
 		configuration: &Configuration{
 			Version:  version,
@@ -67,7 +74,11 @@
 		return strings.Compare(rank(a.Name)+a.Name, rank(b.Name)+b.Name)
 	})
 	var blocks block.Builder
+	reuse := previous != nil && sameBlocks(known, documents)
 	for _, doc := range ordered {
+		if reuse && strings.HasPrefix(doc.Name, BlockPrefix) {
+			continue
+		}
 		compile.file = doc.Name
 		compile.content = doc.Content
 		compile.document(doc, &blocks)
@@ -79,12 +90,36 @@
 		})
 	}
 	compile.configuration.Blocks = blocks.Table()
+	if reuse {
+		compile.configuration.Blocks = previous.Blocks
+	}
 	if err := compile.faults.Err(); err != nil {
 		return nil, err
 	}
 	return compile.configuration, nil
 }
 
+// sameBlocks reports whether two sets of documents map client blocks alike:
+// the lists of blocks and the regions they name are the same.
+func sameBlocks(a, b []Document) bool {
+	mapping := func(doc Document) bool {
+		return doc.Name == DeploymentDocument || strings.HasPrefix(doc.Name, BlockPrefix)
+	}
+	return slices.EqualFunc(selected(a, mapping), selected(b, mapping), func(x, y Document) bool {
+		return x.Name == y.Name && bytes.Equal(x.Content, y.Content)
+	})
+}
+
+func selected(documents []Document, choose func(Document) bool) []Document {
+	var chosen []Document
+	for _, doc := range documents {
+		if choose(doc) {
+			chosen = append(chosen, doc)
+		}
+	}
+	return chosen
+}
+
 // rank puts the deployment before what refers to it.
 func rank(name string) string {
 	switch {
@@ -257,6 +292,10 @@
 	if service.Ramp == 0 {
 		service.Ramp = document.Duration(DefaultRamp)
 	}
+	if service.ServiceTime > service.Deadline {
+		c.fault("service-time", "%s contradicts deadline %s: it must not be longer",
+			time.Duration(service.ServiceTime), time.Duration(service.Deadline))
+	}
 	c.serviceRegions(service)
 	c.backendServers(service)
 	c.configuration.services[service.Name] = service
--- a/intent/intent.go
+++ b/intent/intent.go
@@ -92,6 +92,9 @@
 	Class Class  `toml:"class"`
 	// Deadline bounds a request whose caller names none.
 	Deadline document.Duration `toml:"deadline"`
+	// ServiceTime is how long a request usually holds its slot; 0 where it is
+	// not known, which leaves out the checks that need it.
+	ServiceTime document.Duration `toml:"service-time"`
 	// Ramp is how long a cold backend server takes to its full slots.
 	Ramp           document.Duration `toml:"ramp"`
 	Regions        []ServiceRegion   `toml:"region"`
--- a/publication/publication.go
+++ b/publication/publication.go
@@ -1,15 +1,12 @@
-// Package publication puts a set of documents into force: it stores them in
-// the platform's object store, then moves the head row of the table on the
-// condition that nobody else moved it meanwhile.
+// Package publication puts a set of documents into force: it stores the step
+// from the version before in the platform's object store, then moves the head
+// row of the table on the condition that nobody else moved it meanwhile.
 package publication
 
 import (
-	"bytes"
 	"context"
 	"crypto/rand"
 	"fmt"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -20,9 +17,6 @@
 	"github.com/teaselstack/teaselstack/platform"
 )
 
-// HeadRow is the table row that names the newest version.
-const HeadRow = "configuration/head"
-
 // ConflictError says that another operator published first.
 type ConflictError struct {
 	// Expected is the version that the publisher built on.
@@ -39,10 +33,30 @@
 		e.Actual, e.Author, e.Expected)
 }
 
+// UnknownError says that the store's answers were lost, so that it is open
+// whether the change took effect. Publishing again under the same ID settles it.
+type UnknownError struct {
+	ID    string
+	Cause error
+}
+
+// Error names the ID to repeat with.
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("publish: whether it took effect is unknown, repeat it with --publish-id %s: %v", e.ID, e.Cause)
+}
+
+// Unwrap returns the store's last error.
+func (e *UnknownError) Unwrap() error {
+	return e.Cause
+}
+
 // Publisher publishes to a platform.
 type Publisher struct {
 	Platform platform.Platform
 	Author   string
+	// Accepted is called with the step to a version that was just put in force;
+	// it may be nil.
+	Accepted func(ctx context.Context, step *teaselv1.Delta)
 }
 
 // Current is the newest published state.
@@ -52,6 +66,23 @@
 	Documents []intent.Document
 }
 
+// Change is what an operator wants in force.
+type Change struct {
+	// ID makes the change safe to repeat: a version published under it is
+	// returned, not published again. The empty ID stands for a new one.
+	ID        string
+	Documents []intent.Document
+}
+
+const (
+	// attempts bounds how often a write is tried.
+	attempts = 4
+	// attemptPause is the time between two tries.
+	attemptPause = 200 * time.Millisecond
+	// searchDepth is how many versions back a publish ID is looked for.
+	searchDepth = 256
+)
+
 // Read returns the newest published state; version 0 when there is none.
 func (p *Publisher) Read(ctx context.Context) (*Current, error) {
 	head, revision, err := ReadHead(ctx, p.Platform.Table)
@@ -63,178 +94,175 @@
 	if err != nil {
 		return nil, err
 	}
-	delta, err := ReadDelta(ctx, p.Platform.Objects, head.GetSnapshotObject())
+	documents, err := documentsOf(ctx, p.Platform.Objects, head)
 	if err != nil {
 		return nil, err
 	}
 	return &Current{
 		Head:      head,
 		Revision:  revision,
-		Documents: Apply(nil, delta),
+		Documents: documents,
 	}, nil
 }
 
-// Publish puts documents into force in place of current, and returns the new
-// version. It returns a *ConflictError when another version came first.
-func (p *Publisher) Publish(ctx context.Context, current *Current, documents []intent.Document) (uint64, error) {
-	version := current.Head.GetVersion() + 1
-	if _, err := intent.Compile(version, documents); err != nil {
+// Publish puts a change into force in place of current, and returns the new
+// version, or the current one when nothing differs. It returns
+// document.Errors for faults, a *ConflictError when another version came first
+// and an *UnknownError when lost answers leave the end open.
+func (p *Publisher) Publish(ctx context.Context, current *Current, change Change) (uint64, error) {
+	if change.ID == "" {
+		change.ID = rand.Text()
+	} else if found, err := p.find(ctx, current.Head, change.ID, searchDepth); found != 0 || err != nil {
+		return found, err
+	}
+	if _, _, err := intent.Check(current.Head.GetVersion()+1, change.Documents); err != nil {
 		return 0, err
 	}
-	delta := Difference(current.Documents, documents)
-	delta.Version = version
+	delta := Difference(current.Documents, change.Documents)
+	if len(delta.GetChanged())+len(delta.GetRemoved()) == 0 && current.Head.GetVersion() > 0 {
+		return current.Head.GetVersion(), nil
+	}
+	delta.Version = current.Head.GetVersion() + 1
 	delta.Parent = current.Head.GetVersion()
-	delta.PublishId = rand.Text()
+	delta.ParentObject = current.Head.GetDeltaObject()
+	delta.PublishId = change.ID
 	delta.PublishedNs = time.Now().UnixNano()
 	delta.Author = p.Author
-	snapshot := Difference(nil, documents)
-	snapshot.Version = version
-	snapshot.PublishId = delta.GetPublishId()
-	snapshot.PublishedNs = delta.GetPublishedNs()
-	snapshot.Author = p.Author
-	head := &teaselv1.Head{
-		Version:         version,
-		PublishId:       delta.GetPublishId(),
-		DeltaObject:     objectName("delta", delta),
-		SnapshotObject:  objectName("snapshot", snapshot),
-		SnapshotVersion: version,
-		PublishedNs:     delta.GetPublishedNs(),
-	}
-	if err := p.put(ctx, head.GetDeltaObject(), delta); err != nil {
+	head, err := p.store(ctx, current, delta, change.Documents)
+	if err != nil {
 		return 0, err
 	}
-	if err := p.put(ctx, head.GetSnapshotObject(), snapshot); err != nil {
-		return 0, err
+	version, err := p.moveHead(ctx, current, head)
+	if err == nil && p.Accepted != nil {
+		p.Accepted(ctx, delta)
+	}
+	return version, err
+}
+
+// store writes the objects of a version, and returns the head that names them.
+// Nothing refers to them before the head moves.
+func (p *Publisher) store(ctx context.Context, current *Current, delta *teaselv1.Delta, documents []intent.Document) (*teaselv1.Head, error) {
+	object := objectName("delta", delta)
+	delta.SnapshotObject = current.Head.GetSnapshotObject()
+	delta.SnapshotVersion = current.Head.GetSnapshotVersion()
+	switch {
+	case delta.GetParent() == 0:
+		delta.SnapshotObject = object
+		delta.SnapshotVersion = delta.GetVersion()
+	case delta.GetVersion() >= delta.GetSnapshotVersion()+SnapshotInterval:
+		delta.SnapshotObject = objectName("snapshot", delta)
+		delta.SnapshotVersion = delta.GetVersion()
+		snapshot := Difference(nil, documents)
+		snapshot.Version = delta.GetVersion()
+		snapshot.PublishId = delta.GetPublishId()
+		snapshot.PublishedNs = delta.GetPublishedNs()
+		snapshot.Author = delta.GetAuthor()
+		if err := p.put(ctx, delta.GetSnapshotObject(), snapshot); err != nil {
+			return nil, err
+		}
 	}
-	return version, p.moveHead(ctx, current, head)
+	return headOf(object, delta), p.put(ctx, object, delta)
 }
 
+// put stores an object. A repeat writes the same content, so that a lost
+// answer does no harm.
 func (p *Publisher) put(ctx context.Context, name string, delta *teaselv1.Delta) error {
 	content, err := proto.Marshal(delta)
 	if err != nil {
 		return errors.Wrapf(err, "encode object %s", name)
 	}
-	return p.Platform.Objects.Put(ctx, name, content)
+	for range attempts {
+		if err = p.Platform.Objects.Put(ctx, name, content); err == nil {
+			return nil
+		}
+		if !pause(ctx) {
+			break
+		}
+	}
+	return errors.Wrapf(err, "publish: nothing changed: store object %s", name)
 }
 
-// moveHead writes the head row. An answer that was lost is settled by reading
-// the row back and comparing the publish id.
-func (p *Publisher) moveHead(ctx context.Context, current *Current, head *teaselv1.Head) error {
+// moveHead writes the head row. The write is conditional, so a repeat after a
+// lost answer does no harm; what came of it is read back.
+func (p *Publisher) moveHead(ctx context.Context, current *Current, head *teaselv1.Head) (uint64, error) {
 	value, err := proto.Marshal(head)
 	if err != nil {
-		return errors.Wrap(err, "encode head")
+		return 0, errors.Wrap(err, "encode head")
 	}
-	_, commitErr := p.Platform.Table.Commit(ctx, []platform.Write{{
-		Row:    HeadRow,
-		Expect: current.Revision,
-		Value:  value,
-	}})
-	if commitErr == nil {
-		return nil
+	for range attempts {
+		_, err = p.Platform.Table.Commit(ctx, []platform.Write{{
+			Row:    HeadRow,
+			Expect: current.Revision,
+			Value:  value,
+		}})
+		if err == nil {
+			return head.GetVersion(), nil
+		}
+		settled, version, settleErr := p.settle(ctx, current, head)
+		if settled {
+			return version, settleErr
+		}
+		if !pause(ctx) {
+			break
+		}
 	}
-	actual, _, err := ReadHead(ctx, p.Platform.Table)
-	if err != nil {
-		return errors.Wrap(commitErr, "move head; whether it took effect is unknown")
+	return 0, &UnknownError{
+		ID:    head.GetPublishId(),
+		Cause: err,
 	}
-	if actual.GetPublishId() == head.GetPublishId() {
-		return nil
+}
+
+// settle reads back what came of a write of head. It is not settled while the
+// row still is the one that the change was made on, or cannot be read.
+func (p *Publisher) settle(ctx context.Context, current *Current, head *teaselv1.Head) (bool, uint64, error) {
+	actual, revision, err := ReadHead(ctx, p.Platform.Table)
+	if err != nil || revision == current.Revision {
+		return false, 0, nil
 	}
-	if actual.GetVersion() < head.GetVersion() {
-		return errors.Wrap(commitErr, "move head")
+	found, err := p.find(ctx, actual, head.GetPublishId(), actual.GetVersion()-current.Head.GetVersion())
+	if err != nil {
+		return false, 0, nil
+	}
+	if found != 0 {
+		return true, found, nil
 	}
 	conflict := &ConflictError{
 		Expected: current.Head.GetVersion(),
 		Actual:   actual.GetVersion(),
+		Author:   "an unknown author",
 	}
 	if delta, err := ReadDelta(ctx, p.Platform.Objects, actual.GetDeltaObject()); err == nil {
 		conflict.Author = delta.GetAuthor()
 	}
-	return conflict
+	return true, 0, conflict
 }
 
-// ReadHead returns the head row, or platform.ErrNotFound before the first
-// publication.
-func ReadHead(ctx context.Context, table platform.Table) (*teaselv1.Head, platform.Revision, error) {
-	row, err := table.Read(ctx, HeadRow)
-	if err != nil {
-		return nil, "", err
-	}
-	head := &teaselv1.Head{}
-	if err := proto.Unmarshal(row.Value, head); err != nil {
-		return nil, "", errors.Wrapf(err, "decode row %s", HeadRow)
-	}
-	return head, row.Revision, nil
-}
-
-// ReadDelta returns a stored delta or snapshot.
-func ReadDelta(ctx context.Context, objects platform.Objects, name string) (*teaselv1.Delta, error) {
-	content, err := objects.Get(ctx, name)
-	if err != nil {
-		return nil, err
-	}
-	delta := &teaselv1.Delta{}
-	if err := proto.Unmarshal(content, delta); err != nil {
-		return nil, errors.Wrapf(err, "decode object %s", name)
-	}
-	return delta, nil
-}
-
-func objectName(kind string, delta *teaselv1.Delta) string {
-	return fmt.Sprintf("configuration/%s/%020d-%s", kind, delta.GetVersion(), delta.GetPublishId())
-}
-
-// Difference returns the delta that turns one set of documents into another.
-func Difference(from, to []intent.Document) *teaselv1.Delta {
-	delta := &teaselv1.Delta{}
-	for _, doc := range to {
-		old := find(from, doc.Name)
-		if old == nil || !bytes.Equal(old.Content, doc.Content) {
-			delta.Changed = append(delta.Changed, &teaselv1.Document{
-				Name:    doc.Name,
-				Content: doc.Content,
-			})
-		}
-	}
-	for _, doc := range from {
-		if find(to, doc.Name) == nil {
-			delta.Removed = append(delta.Removed, doc.Name)
+// find returns the version that was published under an ID, looking back over
+// up to depth versions from head, or 0.
+func (p *Publisher) find(ctx context.Context, head *teaselv1.Head, id string, depth uint64) (uint64, error) {
+	name := head.GetDeltaObject()
+	for range depth {
+		if name == "" {
+			break
 		}
-	}
-	return delta
-}
-
-// Apply returns the documents after a delta, in name order. The argument is
-// left as it is; a delta without parent begins from nothing.
-func Apply(documents []intent.Document, delta *teaselv1.Delta) []intent.Document {
-	next := slices.Clone(documents)
-	if delta.GetParent() == 0 {
-		next = nil
-	}
-	next = slices.DeleteFunc(next, func(doc intent.Document) bool {
-		return slices.Contains(delta.GetRemoved(), doc.Name)
-	})
-	for _, changed := range delta.GetChanged() {
-		doc := intent.Document{
-			Name:    changed.GetName(),
-			Content: changed.GetContent(),
+		delta, err := ReadDelta(ctx, p.Platform.Objects, name)
+		if err != nil {
+			return 0, errors.Wrapf(err, "look for publish ID %s", id)
 		}
-		if old := find(next, doc.Name); old != nil {
-			*old = doc
-			continue
+		if delta.GetPublishId() == id {
+			return delta.GetVersion(), nil
 		}
-		next = append(next, doc)
+		name = delta.GetParentObject()
 	}
-	slices.SortFunc(next, func(a, b intent.Document) int {
-		return strings.Compare(a.Name, b.Name)
-	})
-	return next
+	return 0, nil
 }
 
-func find(documents []intent.Document, name string) *intent.Document {
-	for i := range documents {
-		if documents[i].Name == name {
-			return &documents[i]
-		}
+// pause waits before the next attempt, and reports whether there may be one.
+func pause(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(attemptPause):
+		return true
 	}
-	return nil
 }
--- /dev/null
+++ b/publication/publication_test.go
@@ -0,0 +1,278 @@
+package publication
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+
+	"github.com/go-faster/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/teaselstack/teaselstack/intent"
+	"github.com/teaselstack/teaselstack/platform"
+	"github.com/teaselstack/teaselstack/platform/memory"
+)
+
+const deployment = `
+name = "test"
+[objective]
+latency = 1
+[[region]]
+name = "north"
+[[failure-domain]]
+name = "north-a"
+region = "north"
+[[entry]]
+name = "entry-1"
+failure-domain = "north-a"
+`
+
+// documents returns a valid set that differs from that of any other number.
+func documents(number int) []intent.Document {
+	return []intent.Document{
+		{
+			Name:    "client-blocks/callers.blocks",
+			Content: fmt.Appendf(nil, "10.%d.%d.0/24 north\n", number/256%256, number%256),
+		},
+		{
+			Name:    intent.DeploymentDocument,
+			Content: []byte(deployment),
+		},
+	}
+}
+
+func publish(t *testing.T, publisher *Publisher, number int) uint64 {
+	t.Helper()
+	current, err := publisher.Read(t.Context())
+	assert.NilError(t, err)
+	version, err := publisher.Publish(t.Context(), current, Change{
+		Documents: documents(number),
+	})
+	assert.NilError(t, err)
+	return version
+}
+
+func TestRacingOperatorsHaveOneWinnerEachRound(t *testing.T) {
+	const rounds = 200
+	var store memory.Store
+	operators := []*Publisher{
+		{
+			Platform: store.Platform(),
+			Author:   "anna",
+		},
+		{
+			Platform: store.Platform(),
+			Author:   "bela",
+		},
+	}
+	for round := range rounds {
+		versions := make([]uint64, len(operators))
+		failures := make([]error, len(operators))
+		currents := make([]*Current, len(operators))
+		for i, operator := range operators {
+			current, err := operator.Read(t.Context())
+			assert.NilError(t, err)
+			currents[i] = current
+		}
+		var group sync.WaitGroup
+		for i, operator := range operators {
+			group.Go(func() {
+				versions[i], failures[i] = operator.Publish(t.Context(), currents[i], Change{
+					Documents: documents(2*round + i),
+				})
+			})
+		}
+		group.Wait()
+		winner := 0
+		if failures[0] != nil {
+			winner = 1
+		}
+		assert.NilError(t, failures[winner])
+		var conflict *ConflictError
+		assert.Assert(t, errors.As(failures[1-winner], &conflict), "round %d: %v", round, failures[1-winner])
+		assert.Equal(t, conflict.Author, operators[winner].Author)
+		assert.Equal(t, conflict.Actual, versions[winner])
+		assert.Equal(t, versions[winner], uint64(round+1))
+		after, err := operators[0].Read(t.Context())
+		assert.NilError(t, err)
+		assert.DeepEqual(t, after.Documents, documents(2*round+winner))
+	}
+}
+
+var errLost = errors.New("the answer was lost")
+
+// faulty wraps a platform. The write with a number, counted from 1, takes
+// effect and loses its answer; after that interfere is called.
+func faulty(service platform.Platform, number int, interfere func()) platform.Platform {
+	count := 0
+	lose := func() error {
+		count++
+		if count != number {
+			return nil
+		}
+		if interfere != nil {
+			interfere()
+		}
+		return errLost
+	}
+	put, commit := service.Objects.Put, service.Table.Commit
+	service.Objects.Put = func(ctx context.Context, name string, content []byte) error {
+		if err := put(ctx, name, content); err != nil {
+			return err
+		}
+		return lose()
+	}
+	service.Table.Commit = func(ctx context.Context, writes []platform.Write) ([]platform.Revision, error) {
+		revisions, err := commit(ctx, writes)
+		if err != nil {
+			return nil, err
+		}
+		return revisions, lose()
+	}
+	return service
+}
+
+func TestPublishSurvivesALostAnswerAtEachWrite(t *testing.T) {
+	for _, other := range []bool{false, true} {
+		for number := 1; number <= 3; number++ {
+			synctest.Test(t, func(t *testing.T) {
+				var store memory.Store
+				plain := &Publisher{
+					Platform: store.Platform(),
+					Author:   "bela",
+				}
+				// The version under test is one that also writes a snapshot.
+				for version := range SnapshotInterval {
+					publish(t, plain, version)
+				}
+				interfere := func() {
+					if other && number == 3 {
+						publish(t, plain, 1001)
+					}
+				}
+				publisher := &Publisher{
+					Platform: faulty(store.Platform(), number, interfere),
+					Author:   "anna",
+				}
+				assert.Equal(t, publish(t, publisher, 1000), uint64(SnapshotInterval+1))
+				versions, err := History(t.Context(), store.Platform(), 1000)
+				assert.NilError(t, err)
+				want := SnapshotInterval + 1
+				if other && number == 3 {
+					want++
+				}
+				assert.Equal(t, len(versions), want)
+				at, err := DocumentsAt(t.Context(), store.Platform(), SnapshotInterval+1)
+				assert.NilError(t, err)
+				assert.DeepEqual(t, at, documents(1000))
+			})
+		}
+	}
+}
+
+func TestPublishWithTheStoreDownChangesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var store memory.Store
+		publisher := &Publisher{
+			Platform: store.Platform(),
+		}
+		publish(t, publisher, 1)
+		current, err := publisher.Read(t.Context())
+		assert.NilError(t, err)
+		publisher.Platform.Objects.Put = func(context.Context, string, []byte) error { return errLost }
+		_, err = publisher.Publish(t.Context(), current, Change{
+			Documents: documents(2),
+		})
+		assert.ErrorContains(t, err, "nothing changed")
+		publisher.Platform = store.Platform()
+		after, err := publisher.Read(t.Context())
+		assert.NilError(t, err)
+		assert.DeepEqual(t, after.Documents, documents(1))
+	})
+}
+
+func TestPublishCutFromTheStoreIsUnknownAndSafeToRepeat(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var store memory.Store
+		publisher := &Publisher{
+			Platform: store.Platform(),
+		}
+		publish(t, publisher, 1)
+		current, err := publisher.Read(t.Context())
+		assert.NilError(t, err)
+		publisher.Platform.Table.Commit = func(ctx context.Context, writes []platform.Write) ([]platform.Revision, error) {
+			_, _ = store.Commit(ctx, writes)
+			return nil, errLost
+		}
+		publisher.Platform.Table.Read = func(context.Context, string) (platform.Row, error) {
+			return platform.Row{}, errLost
+		}
+		_, err = publisher.Publish(t.Context(), current, Change{
+			ID:        "pipeline-7",
+			Documents: documents(2),
+		})
+		var unknown *UnknownError
+		assert.Assert(t, errors.As(err, &unknown), "%v", err)
+		assert.Equal(t, unknown.ID, "pipeline-7")
+		publisher.Platform = store.Platform()
+		publish(t, publisher, 3)
+		current, err = publisher.Read(t.Context())
+		assert.NilError(t, err)
+		version, err := publisher.Publish(t.Context(), current, Change{
+			ID:        unknown.ID,
+			Documents: documents(2),
+		})
+		assert.NilError(t, err)
+		assert.Equal(t, version, uint64(2))
+		assert.DeepEqual(t, current.Documents, documents(3))
+	})
+}
+
+func TestPublishWithoutDifferenceKeepsTheVersion(t *testing.T) {
+	var store memory.Store
+	publisher := &Publisher{
+		Platform: store.Platform(),
+	}
+	assert.Equal(t, publish(t, publisher, 1), uint64(1))
+	assert.Equal(t, publish(t, publisher, 1), uint64(1))
+}
+
+func TestReadSinceCrossesSnapshots(t *testing.T) {
+	var store memory.Store
+	publisher := &Publisher{
+		Platform: store.Platform(),
+	}
+	const versions = 3*SnapshotInterval + 5
+	for version := 1; version <= versions; version++ {
+		publish(t, publisher, version)
+	}
+	head, _, err := ReadHead(t.Context(), store.Platform().Table)
+	assert.NilError(t, err)
+	for _, after := range []uint64{0, 1, versions - SnapshotInterval - 1, versions - SnapshotInterval, versions - 1, versions} {
+		steps, err := ReadSince(t.Context(), store.Platform().Objects, head, after)
+		assert.NilError(t, err)
+		assert.Assert(t, len(steps) <= SnapshotInterval+1)
+		documentsAfter := documents(int(after))
+		for _, step := range steps {
+			documentsAfter = Apply(documentsAfter, step)
+		}
+		assert.DeepEqual(t, documentsAfter, documents(versions))
+	}
+}
+
+func TestReviewNamesDifferenceAndEffect(t *testing.T) {
+	current := &Current{}
+	preview, err := Review(current, documents(1))
+	assert.NilError(t, err)
+	assert.Equal(t, strings.Join(preview.Added, " "), "client-blocks/callers.blocks deployment.toml")
+	assert.DeepEqual(t, preview.Effects, []Effect{
+		{
+			Region: "north",
+			Figure: Entries,
+			After:  1,
+		},
+	})
+}
--- a/teaselctl/commands.go
+++ b/teaselctl/commands.go
@@ -4,11 +4,9 @@
 	"context"
 	"fmt"
 	"os"
-	"time"
-
-	"github.com/go-faster/errors"
 
 	teaselv1 "github.com/teaselstack/teaselstack/api/teasel/v1"
+	"github.com/teaselstack/teaselstack/document"
 	"github.com/teaselstack/teaselstack/intent"
 	"github.com/teaselstack/teaselstack/publication"
 	"github.com/teaselstack/teaselstack/teaselctl/control"
@@ -29,19 +27,45 @@
 	}
 	return []command{
 		{
-			name:    "check",
-			short:   "check a directory of intents",
-			long:    "Checks all documents below a directory as a whole and prints each fault as file:line: key: problem.",
-			command: &checkCommand{},
+			name:  "check",
+			short: "check a directory of intents",
+			long:  "Checks all documents below a directory as a whole and prints each fault as file:line: key: problem.",
+			command: &checkCommand{
+				base: common,
+			},
+		},
+		{
+			name:  "diff",
+			short: "show what publishing a directory would do",
+			long:  "Checks all documents below a directory and prints how they differ from the version in force, and the expected effect. Nothing is published.",
+			command: &diffCommand{
+				base: common,
+			},
 		},
 		{
 			name:  "publish",
 			short: "put a directory of intents into force",
-			long:  "Publishes all documents below a directory as the next version. Drains in force stay in force.",
+			long:  "Shows the difference and its expected effect, then publishes all documents below a directory as the next version. Drains in force stay in force. Without a difference nothing is published.",
 			command: &publishCommand{
 				base: common,
 			},
 		},
+		{
+			name:  "history",
+			short: "show the published versions",
+			long:  "Prints the newest versions with their authors and changed documents, newest first.",
+			command: &historyCommand{
+				base: common,
+			},
+		},
+		{
+			name:  "rollback",
+			short: "put the documents of an earlier version into force",
+			long:  "Publishes the documents of an earlier version as a new, higher version. Drains stay as they are in force now.",
+			command: &rollbackCommand{
+				base: common,
+			},
+		},
 		{
 			name:  "status",
 			short: "show entries and backend servers",
@@ -92,77 +116,42 @@
 }
 
 type checkCommand struct {
-	Args struct {
-		Directory string `positional-arg-name:"DIRECTORY"`
-	} `positional-args:"yes" required:"yes"`
-}
-
-// Execute checks the directory.
-func (c *checkCommand) Execute([]string) error {
-	configuration, err := collect(c.Args.Directory)
-	if err != nil {
-		return err
-	}
-	fmt.Printf("ok: %d services, %d client blocks, %d drains\n",
-		len(configuration.Services), configuration.Blocks.Len(), len(configuration.Drains))
-	return nil
-}
-
-func collect(directory string) (*intent.Configuration, error) {
-	documents, err := publication.Collect(os.DirFS(directory))
-	if err != nil {
-		return nil, err
-	}
-	return intent.Compile(1, documents)
-}
-
-// waiting are the options of commands that publish.
-type waiting struct {
-	Wait    bool          `long:"wait" description:"wait until all entries have the version in force"`
-	Timeout time.Duration `long:"timeout" default:"30s" description:"how long to wait"`
-}
-
-func (w waiting) finish(ctx context.Context, operator *control.Operator, version uint64) error {
-	fmt.Printf("published version %d\n", version)
-	if !w.Wait {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, w.Timeout)
-	defer cancel()
-	took, err := operator.WaitInForce(ctx, version)
-	if err != nil {
-		return err
-	}
-	fmt.Printf("version %d is in force on all entries after %s\n", version, took.Round(time.Millisecond))
-	return nil
+	base
+	Args directory `positional-args:"yes" required:"yes"`
 }
 
-type publishCommand struct {
-	base
-	waiting
-	Args struct {
-		Directory string `positional-arg-name:"DIRECTORY"`
-	} `positional-args:"yes" required:"yes"`
+// checked is the result of a check, as --json prints it.
+type checked struct {
+	Services     int             `json:"services"`
+	ClientBlocks int             `json:"client-blocks"`
+	Drains       int             `json:"drains"`
+	Warnings     document.Errors `json:"warnings,omitempty"`
 }
 
-// Execute publishes the directory.
-func (c *publishCommand) Execute([]string) error {
-	if _, err := collect(c.Args.Directory); err != nil {
-		return err
-	}
+// Execute checks the directory.
+func (c *checkCommand) Execute([]string) error {
 	documents, err := publication.Collect(os.DirFS(c.Args.Directory))
 	if err != nil {
 		return err
 	}
-	operator, err := c.globals.operator()
+	configuration, warnings, err := intent.Check(1, documents)
 	if err != nil {
 		return err
 	}
-	version, err := operator.Publish(c.ctx, documents)
-	if err != nil {
-		return err
+	if c.globals.JSON {
+		return control.WriteJSON(os.Stdout, checked{
+			Services:     len(configuration.Services),
+			ClientBlocks: configuration.Blocks.Len(),
+			Drains:       len(configuration.Drains),
+			Warnings:     warnings,
+		})
 	}
-	return c.finish(c.ctx, operator, version)
+	for _, warning := range warnings {
+		fmt.Println("warning:", warning)
+	}
+	fmt.Printf("ok: %d services, %d client blocks, %d drains\n",
+		len(configuration.Services), configuration.Blocks.Len(), len(configuration.Drains))
+	return nil
 }
 
 type statusCommand struct {
@@ -183,72 +172,6 @@
 	return nil
 }
 
-type drainTarget struct {
-	Kind    string `positional-arg-name:"KIND" description:"backend-server, service-region or entry"`
-	Name    string `positional-arg-name:"NAME" description:"the backend server, the entry or the region"`
-	Service string `positional-arg-name:"SERVICE" description:"the service, for a service-region"`
-}
-
-func (t drainTarget) drain() (intent.Drain, error) {
-	if t.Kind == "" || t.Name == "" {
-		return intent.Drain{}, errors.New("KIND and NAME are missing")
-	}
-	return intent.Drain{
-		Kind:    intent.DrainKind(t.Kind),
-		Name:    t.Name,
-		Service: t.Service,
-		Since:   time.Now().UTC().Truncate(time.Second),
-	}, nil
-}
-
-type drainCommand struct {
-	base
-	waiting
-	Force bool        `long:"force" description:"drain even where no room is left"`
-	Args  drainTarget `positional-args:"yes"`
-}
-
-// Execute publishes the drain.
-func (c *drainCommand) Execute([]string) error {
-	operator, err := c.globals.operator()
-	if err != nil {
-		return err
-	}
-	drain, err := c.Args.drain()
-	if err != nil {
-		return err
-	}
-	drain.Force = c.Force
-	version, err := operator.Drain(c.ctx, drain)
-	if err != nil {
-		return err
-	}
-	return c.finish(c.ctx, operator, version)
-}
-
-type undrainCommand struct {
-	base
-	waiting
-	Args drainTarget `positional-args:"yes"`
-}
-
-// Execute publishes a version without the drain.
-func (c *undrainCommand) Execute([]string) error {
-	operator, err := c.globals.operator()
-	if err != nil {
-		return err
-	}
-	drain, err := c.Args.drain()
-	if err != nil {
-		return err
-	}
-	version, err := operator.Undrain(c.ctx, drain)
-	if err != nil {
-		return err
-	}
-	return c.finish(c.ctx, operator, version)
-}
-
 type explainCommand struct {
 	base
 	Args struct {
--- a/teaselctl/control/control.go
+++ b/teaselctl/control/control.go
@@ -2,26 +2,21 @@
 package control
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"net/http"
 	"net/netip"
 	"os"
 	"os/user"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
 	"connectrpc.com/connect"
 	"github.com/go-faster/errors"
-	"github.com/pelletier/go-toml/v2"
 
 	teaselv1 "github.com/teaselstack/teaselstack/api/teasel/v1"
 	"github.com/teaselstack/teaselstack/api/teasel/v1/teaselv1connect"
 	"github.com/teaselstack/teaselstack/document"
-	"github.com/teaselstack/teaselstack/intent"
 	"github.com/teaselstack/teaselstack/platform"
 	"github.com/teaselstack/teaselstack/publication"
 	"github.com/teaselstack/teaselstack/timeline"
@@ -99,68 +94,6 @@
 	return current.Username
 }
 
-// Publish puts documents into force; drains in force stay.
-func (o *Operator) Publish(ctx context.Context, documents []intent.Document) (uint64, error) {
-	current, err := o.publisher.Read(ctx)
-	if err != nil {
-		return 0, err
-	}
-	next := slices.Clone(documents)
-	for _, doc := range current.Documents {
-		if strings.HasPrefix(doc.Name, intent.DrainPrefix) && !named(documents, doc.Name) {
-			next = append(next, doc)
-		}
-	}
-	return o.publisher.Publish(ctx, current, next)
-}
-
-func named(documents []intent.Document, name string) bool {
-	return slices.ContainsFunc(documents, func(doc intent.Document) bool { return doc.Name == name })
-}
-
-// Drain publishes a drain.
-func (o *Operator) Drain(ctx context.Context, drain intent.Drain) (uint64, error) {
-	content, err := toml.Marshal(drain)
-	if err != nil {
-		return 0, errors.Wrap(err, "encode drain")
-	}
-	current, err := o.publisher.Read(ctx)
-	if err != nil {
-		return 0, err
-	}
-	next := slices.DeleteFunc(slices.Clone(current.Documents), func(doc intent.Document) bool {
-		return doc.Name == drainDocument(drain)
-	})
-	next = append(next, intent.Document{
-		Name:    drainDocument(drain),
-		Content: bytes.TrimSpace(content),
-	})
-	return o.publisher.Publish(ctx, current, next)
-}
-
-// Undrain publishes a version without a drain.
-func (o *Operator) Undrain(ctx context.Context, drain intent.Drain) (uint64, error) {
-	current, err := o.publisher.Read(ctx)
-	if err != nil {
-		return 0, err
-	}
-	if !named(current.Documents, drainDocument(drain)) {
-		return 0, errors.Errorf("undrain: no drain of %s %s is in force", drain.Kind, drain.Name)
-	}
-	next := slices.DeleteFunc(slices.Clone(current.Documents), func(doc intent.Document) bool {
-		return doc.Name == drainDocument(drain)
-	})
-	return o.publisher.Publish(ctx, current, next)
-}
-
-func drainDocument(drain intent.Drain) string {
-	name := string(drain.Kind) + "-" + drain.Name
-	if drain.Service != "" {
-		name += "-" + drain.Service
-	}
-	return intent.DrainPrefix + name + ".toml"
-}
-
 // EntryStatus is one entry's answer, or why there is none.
 type EntryStatus struct {
 	Address string                   `json:"address"`
@@ -197,36 +130,6 @@
 	return request
 }
 
-// waitInterval is the time between two looks at the versions in force.
-const waitInterval = 100 * time.Millisecond
-
-// WaitInForce waits until all entries have a version in force, and returns how
-// long that took. The error names the entries that lack it.
-func (o *Operator) WaitInForce(ctx context.Context, version uint64) (time.Duration, error) {
-	began := time.Now()
-	for {
-		lacking := o.lacking(ctx, version)
-		if len(lacking) == 0 {
-			return time.Since(began), nil
-		}
-		select {
-		case <-ctx.Done():
-			return 0, errors.Errorf("version %d is not in force on %s", version, strings.Join(lacking, ", "))
-		case <-time.After(waitInterval):
-		}
-	}
-}
-
-func (o *Operator) lacking(ctx context.Context, version uint64) []string {
-	var lacking []string
-	for _, each := range o.Status(ctx) {
-		if each.Status.GetConfigurationVersion() < version {
-			lacking = append(lacking, each.Address)
-		}
-	}
-	return lacking
-}
-
 // Explain asks the first entry that answers.
 func (o *Operator) Explain(ctx context.Context, service, caller string) (*teaselv1.ExplainResponse, error) {
 	failure := errors.New("no entries in the settings")
--- a/teaselctl/main.go
+++ b/teaselctl/main.go
@@ -26,6 +26,8 @@
 	exitFailed   = 1
 	exitUsage    = 2
 	exitConflict = 3
+	exitUnknown  = 4
+	exitLacking  = 5
 )
 
 // globals are the options of all commands.
@@ -50,7 +52,7 @@
 	}
 	parser := flags.NewParser(shared, flags.HelpFlag|flags.PassDoubleDash)
 	parser.Name = "teaselctl"
-	parser.LongDescription = "Exit codes: 0 for success, 1 for a failure, 2 for a wrong command line or document, 3 when another operator published first."
+	parser.LongDescription = "Exit codes: 0 for success, 1 for a failure, 2 for a wrong command line or document, 3 when another operator published first, 4 when lost answers of the platform leave open whether a change took effect, 5 when a published version is not in force on all entries in time."
 	for _, each := range commands(ctx, shared) {
 		if _, err := parser.AddCommand(each.name, each.short, each.long, each.command); err != nil {
 			fmt.Fprintln(os.Stderr, "teaselctl:", err)
@@ -74,11 +76,17 @@
 	fmt.Fprintln(os.Stderr, "teaselctl:", err)
 	var faults document.Errors
 	var conflict *publication.ConflictError
+	var unknown *publication.UnknownError
+	var lacking *control.NotInForceError
 	switch {
 	case errors.As(err, &flagsErr), errors.As(err, &faults):
 		return exitUsage
 	case errors.As(err, &conflict):
 		return exitConflict
+	case errors.As(err, &unknown):
+		return exitUnknown
+	case errors.As(err, &lacking):
+		return exitLacking
 	}
 	return exitFailed
 }
--- a/timeline/timeline.go
+++ b/timeline/timeline.go
@@ -53,15 +53,37 @@
 	return c.Observe(Time{})
 }
 
-// Observe returns a reading above every earlier one and above a peer's.
+// MaxAhead is how far a peer's clock may be ahead of the own before it is no
+// longer followed.
+const MaxAhead = 2 * time.Second
+
+// Observe returns a reading above every earlier one and above a peer's, unless
+// the peer's is more than MaxAhead ahead of the own wall clock.
 func (c *Clock) Observe(peer Time) Time {
+	reading, _ := c.Follow(peer)
+	return reading
+}
+
+// Follow is Observe, and reports whether the peer's reading was followed: one
+// clock that is far ahead must not carry all others with it.
+func (c *Clock) Follow(peer Time) (Time, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	wall := time.Now().UnixNano()
+	followed := peer.Wall-wall <= int64(MaxAhead)
+	if !followed {
+		peer = Time{}
+	}
+	return c.above(peer, wall), followed
+}
+
+// above returns the reading after the last one and a peer's. The caller holds
+// the lock.
+func (c *Clock) above(peer Time, wall int64) Time {
 	highest := c.last
 	if peer.Compare(highest) > 0 {
 		highest = peer
 	}
-	wall := time.Now().UnixNano()
 	if wall > highest.Wall {
 		c.last = Time{
 			Wall: wall,
@@ -84,6 +106,8 @@
 	events  []Event
 	next    int
 	written uint64
+	// once holds when an event that repeats was last recorded.
+	once map[string]time.Time
 }
 
 // NewRing returns a ring that keeps up to size events of an entry.
@@ -115,6 +139,36 @@
 	r.next = (r.next + 1) % len(r.events)
 }
 
+// onceInterval is how often RecordOnce keeps an event of one name, and
+// maxOnce how many names it remembers.
+const (
+	onceInterval = time.Minute
+	maxOnce      = 1024
+)
+
+// RecordOnce is Record for an event that repeats under a name: it is kept
+// once a minute.
+func (r *Ring) RecordOnce(name string, event Event) {
+	if r == nil || !r.due(name) {
+		return
+	}
+	r.Record(event)
+}
+
+func (r *Ring) due(name string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	last, known := r.once[name]
+	if known && time.Since(last) < onceInterval {
+		return false
+	}
+	if r.once == nil || len(r.once) >= maxOnce {
+		r.once = make(map[string]time.Time)
+	}
+	r.once[name] = time.Now()
+	return true
+}
+
 // Filter selects events; empty fields match all.
 type Filter struct {
 	Key     string
