Starting entry serves without waiting for a platform that hangs

TestReplacedEntryLearnsFromPeersWithTheStoreDown failed once its wait was bounded by 5 s: the check whether to serve stood behind a poll that hangs up to 10 s.

--- a/entry/configuration/source.go
+++ b/entry/configuration/source.go
@@ -24,6 +24,8 @@
 	pollTimeout = 10 * time.Second
 	// fetchTimeout bounds one question to a peer.
 	fetchTimeout = 5 * time.Second
+	// settleInterval is how often a starting entry looks whether it may serve.
+	settleInterval = 100 * time.Millisecond
 	// announcementLifetime is how long a starting entry waits for a version that
 	// was announced and can't be fetched.
 	announcementLifetime = 30 * time.Second
@@ -114,15 +116,28 @@
 	var group sync.WaitGroup
 	group.Go(func() { k.polls(ctx) })
 	group.Go(func() { k.follow(ctx) })
+	group.Go(func() { k.start(ctx) })
 	group.Wait()
 }
 
+// start looks whether the entry may serve until it does. It doesn't wait for a
+// platform that hangs.
+func (k *Keeper) start(ctx context.Context) {
+	for !k.settled.Load() {
+		k.settle(0, false)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(settleInterval):
+		}
+	}
+}
+
 func (k *Keeper) polls(ctx context.Context) {
 	for {
 		if k.AsksPlatform == nil || k.AsksPlatform() || !k.settled.Load() {
 			_ = k.Poll(ctx)
 		}
-		k.settle(0, false)
 		select {
 		case <-ctx.Done():
 			return
@@ -148,7 +163,6 @@
 			k.fetch(ctx, address)
 			address = k.announced.above(k.Version())
 		}
-		k.settle(0, false)
 	}
 }
 
