--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Targets for developers and operators; see README.md.
 
-MODULES := ./... ./entry/... ./standin/... ./teaselctl/...
+MODULES := ./... ./entry/... ./measure/... ./standin/... ./teaselctl/...
 DEPLOYMENT ?= kasikirjoitus
 
 .PHONY: build run test check generate tools
--- /dev/null
+++ b/measure/capacity/configuration.go
@@ -0,0 +1,191 @@
+package capacity
+
+import (
+	"context"
+
+	"google.golang.org/protobuf/proto"
+
+	teaselv1 "github.com/teaselstack/teaselstack/api/teasel/v1"
+	"github.com/teaselstack/teaselstack/entry/configuration"
+	"github.com/teaselstack/teaselstack/entry/slot"
+	"github.com/teaselstack/teaselstack/intent"
+	"github.com/teaselstack/teaselstack/measure/fleet"
+	"github.com/teaselstack/teaselstack/measure/slope"
+	"github.com/teaselstack/teaselstack/platform/memory"
+	"github.com/teaselstack/teaselstack/publication"
+)
+
+// Configurations measures what an entry's copy of the configuration takes, and
+// what one change costs.
+func Configurations() []Row {
+	texts := siteRow("documents without client blocks", "bytes", 0)
+	blockTexts := siteRow("documents of client blocks", "bytes", 0)
+	compile := siteRow("compiling without client blocks", "ms of a core", 0)
+	compileAll := siteRow("compiling with client blocks", "ms of a core", 0)
+	held := siteRow("keeper, documents and compiled", "bytes", ControlMemory)
+	apply := siteRow("a change of one site, keeper's step", "ms of a core", 0)
+	share := siteRow("81,000 changes of sites a day", "of a core", ControlShare)
+	wire := siteRow("a change on the wire", "bytes", 0)
+	day := siteRow("81,000 changes a day on the wire, to one node", "bytes/s", ControlBytes)
+	for _, size := range []fleet.Size{fleet.Hundredth(), fleet.Tenth(), fleet.Target()} {
+		at := func(row *Row, value float64) {
+			row.Points = append(row.Points, slope.Point{
+				Size:  float64(size.Sites),
+				Value: value,
+			})
+		}
+		documents, blocks := size.Documents(), size.BlockDocuments()
+		at(&texts, length(documents))
+		at(&blockTexts, length(blocks))
+		at(&compile, once(func() { mustCompile(documents) }).Processor.Seconds()*1e3)
+		all := append(documents, blocks...)
+		at(&compileAll, once(func() { mustCompile(all) }).Processor.Seconds()*1e3)
+		keeper, bytes := heapOf(func() *configuration.Keeper { return NewKeeper(copied(all)) })
+		at(&held, bytes)
+		change := Change(size, 2)
+		spent := once(func() { mustApply(keeper, change) }).Processor.Seconds()
+		at(&apply, spent*1e3)
+		at(&share, spent*ChangesPerSecond)
+		at(&wire, float64(proto.Size(change)))
+		at(&day, float64(proto.Size(change))*ChangesPerSecond)
+	}
+	return []Row{texts, blockTexts, compile, compileAll, held, apply, share, wire, day}
+}
+
+func siteRow(quantity, unit string, bound float64) Row {
+	return Row{
+		Quantity: quantity,
+		Unit:     unit,
+		Grows:    "sites, with 3,600/1,900 nodes and 520,000/1,900 blocks a site",
+		Target:   float64(fleet.Target().Sites),
+		Bound:    bound,
+	}
+}
+
+// NewKeeper returns a keeper that holds documents as version 1.
+func NewKeeper(documents []intent.Document) *configuration.Keeper {
+	keeper := &configuration.Keeper{
+		Platform: (&memory.Store{}).Platform(),
+	}
+	first := publication.Difference(nil, documents)
+	first.Version = 1
+	mustApply(keeper, first)
+	return keeper
+}
+
+// Change returns the step to a version that changes one site's caps.
+func Change(size fleet.Size, version uint64) *teaselv1.Delta {
+	doc := size.Service(0, int(version))
+	return &teaselv1.Delta{
+		Version: version,
+		Parent:  version - 1,
+		Changed: []*teaselv1.Document{{
+			Name:    doc.Name,
+			Content: doc.Content,
+		}},
+		PublishId: "ABCDEFGHIJKLMNOPQRSTUVWXYZ",
+		Author:    "operator",
+	}
+}
+
+// Seats measures an entry's own part of taking a configuration over.
+func Seats() []Row {
+	row := Row{
+		Quantity: "finding the backend servers of an entry in a new configuration",
+		Unit:     "ms of a core",
+		Grows:    "nodes, with 1,900/3,600 sites a node",
+		Target:   float64(fleet.Target().Nodes),
+	}
+	share := row
+	share.Quantity = "the same for 81,000 changes a day"
+	share.Unit = "of a core"
+	share.Bound = ControlShare
+	for _, size := range []fleet.Size{
+		fleet.Hundredth(),
+		{
+			Nodes:          120,
+			Regions:        6,
+			FailureDomains: 12,
+			Sites:          63,
+			ServersPerSite: 16,
+		},
+		fleet.Tenth(),
+	} {
+		compiled := mustCompile(size.Documents())
+		ledger := &slot.Ledger{
+			Entry: fleet.EntryName(0),
+		}
+		spent := once(func() { ledger.Configure(compiled) }).Processor.Seconds()
+		row.Points = append(row.Points, slope.Point{
+			Size:  float64(size.Nodes),
+			Value: spent * 1e3,
+		})
+		share.Points = append(share.Points, slope.Point{
+			Size:  float64(size.Nodes),
+			Value: spent * ChangesPerSecond,
+		})
+	}
+	return []Row{row, share}
+}
+
+func length(documents []intent.Document) float64 {
+	sum := 0
+	for _, doc := range documents {
+		sum += len(doc.Content)
+	}
+	return float64(sum)
+}
+
+// copied returns documents that share no memory with the argument.
+func copied(documents []intent.Document) []intent.Document {
+	copies := make([]intent.Document, 0, len(documents))
+	for _, doc := range documents {
+		copies = append(copies, intent.Document{
+			Name:    doc.Name,
+			Content: append([]byte(nil), doc.Content...),
+		})
+	}
+	return copies
+}
+
+func mustCompile(documents []intent.Document) *intent.Configuration {
+	compiled, err := intent.Compile(1, documents)
+	if err != nil {
+		panic("compile the measured documents: " + err.Error())
+	}
+	return compiled
+}
+
+func mustApply(keeper *configuration.Keeper, delta *teaselv1.Delta) {
+	if err := keeper.Apply(delta, "measurement"); err != nil {
+		panic("apply the measured change: " + err.Error())
+	}
+}
+
+// Publishing counts what one publication asks of the platform.
+func Publishing() Calls {
+	var calls Calls
+	store := calls.Count((&memory.Store{}).Platform())
+	publisher := &publication.Publisher{
+		Platform: store,
+		Author:   "measurement",
+	}
+	size := fleet.Hundredth()
+	publish(publisher, size.Documents())
+	calls.reset()
+	documents := size.Documents()
+	documents[1] = size.Service(0, 2)
+	publish(publisher, documents)
+	return calls
+}
+
+func publish(publisher *publication.Publisher, documents []intent.Document) {
+	ctx := context.Background()
+	current, err := publisher.Read(ctx)
+	if err != nil {
+		panic("read the measured publication: " + err.Error())
+	}
+	if _, err := publisher.Publish(ctx, current, documents); err != nil {
+		panic("publish the measured documents: " + err.Error())
+	}
+}
--- /dev/null
+++ b/measure/capacity/lookups.go
@@ -0,0 +1,124 @@
+package capacity
+
+import (
+	"net/netip"
+
+	teaselv1 "github.com/teaselstack/teaselstack/api/teasel/v1"
+	"github.com/teaselstack/teaselstack/entry/lookup"
+	"github.com/teaselstack/teaselstack/entry/membership"
+	"github.com/teaselstack/teaselstack/entry/slot"
+	"github.com/teaselstack/teaselstack/entry/steering"
+	"github.com/teaselstack/teaselstack/intent"
+	"github.com/teaselstack/teaselstack/measure/fleet"
+	"github.com/teaselstack/teaselstack/measure/slope"
+)
+
+// Lookups measures the answers to callers.
+func Lookups() []Row {
+	answers := lookupRow("look-ups answered by one core", "/s")
+	share := lookupRow("a node's 2,083 look-ups a second", "of a core")
+	allocations := lookupRow("heap allocations of a look-up", "")
+	garbage := lookupRow("heap allocated by a look-up", "bytes")
+	for _, size := range []fleet.Size{fleet.Today(), fleet.Hundredth(), fleet.Tenth(), fleet.Target()} {
+		at := func(row *Row, value float64) {
+			row.Points = append(row.Points, slope.Point{
+				Size:  float64(size.Nodes),
+				Value: value,
+			})
+		}
+		each := LookupAnswerCost(size)
+		at(&answers, 1/each.Processor.Seconds())
+		at(&share, each.Processor.Seconds()*LookupsPerNode)
+		at(&allocations, each.Allocations)
+		at(&garbage, each.AllocatedBytes)
+	}
+	return []Row{answers, share, allocations, garbage}
+}
+
+func lookupRow(quantity, unit string) Row {
+	return Row{
+		Quantity: quantity,
+		Unit:     unit,
+		Grows:    "nodes, with their sites and blocks",
+		Target:   float64(fleet.Target().Nodes),
+	}
+}
+
+// LookupAnswerCost returns the cost of one answer in a deployment, without the
+// connection to the caller.
+func LookupAnswerCost(size fleet.Size) Cost {
+	server := NewLookupServer(size)
+	i := 0
+	return cost(func() {
+		i++
+		Ask(server, size, i)
+	})
+}
+
+// Ask asks for look-up number i of a spread over services and client blocks.
+func Ask(server *lookup.Server, size fleet.Size, i int) *teaselv1.LookupResponse {
+	const step = 7919
+	answer, err := server.Answer(fleet.SiteName(i%size.Sites), blockAddress(i*step%size.Blocks))
+	if err != nil {
+		panic("measured look-up: " + err.Error())
+	}
+	return answer
+}
+
+func blockAddress(i int) netip.Addr {
+	return fleet.Block(i).Addr().Next()
+}
+
+// NewLookupServer returns the look-up server of entry 0 in a deployment where
+// all entries are alive and have room.
+func NewLookupServer(size fleet.Size) *lookup.Server {
+	compiled := mustCompile(append(size.Documents(), size.BlockDocuments()...))
+	current := func() *intent.Configuration { return compiled }
+	roster := newRoster(size.Nodes)
+	view := &steering.View{
+		Entry:         fleet.EntryName(0),
+		Configuration: current,
+		Own:           func() []slot.Status { return nil },
+		Peer:          roster.Peer,
+	}
+	part := view.Part()
+	for i := 1; i < size.Nodes; i++ {
+		part.Answer(&teaselv1.HeartbeatRequest{
+			Sender: member(i),
+			Loads:  loads(size),
+		}, &teaselv1.HeartbeatResponse{})
+	}
+	return &lookup.Server{
+		Configuration: current,
+		Places:        view.Places,
+		Entries:       func() []*teaselv1.Member { return alive(roster) },
+		Issue:         func() string { return "ticket" },
+		Region:        fleet.RegionName(0),
+	}
+}
+
+// loads is what one entry reports: an even share of the sites.
+func loads(size fleet.Size) []*teaselv1.RegionLoad {
+	count := min(size.Sites, max(1, size.Sites*size.ServersPerSite/size.Nodes))
+	loads := make([]*teaselv1.RegionLoad, 0, count)
+	for i := range count {
+		loads = append(loads, &teaselv1.RegionLoad{
+			Service:       fleet.SiteName(i),
+			FailureDomain: fleet.DomainName(0),
+			Slots:         12,
+			InFlight:      3,
+		})
+	}
+	return loads
+}
+
+// alive is what the entry program hands to its look-up server.
+func alive(roster *membership.Roster) []*teaselv1.Member {
+	members := []*teaselv1.Member{roster.Self()}
+	for _, peer := range roster.Peers() {
+		if peer.State == membership.Alive && !peer.Member.GetStopping() {
+			members = append(members, peer.Member)
+		}
+	}
+	return members
+}
--- /dev/null
+++ b/measure/capacity/meter.go
@@ -0,0 +1,77 @@
+package capacity
+
+import (
+	"runtime"
+	"syscall"
+	"time"
+)
+
+// Cost is what one operation takes.
+type Cost struct {
+	// Processor is processor time of all threads, the garbage collector's too.
+	Processor time.Duration
+	// Allocations and AllocatedBytes are of the heap.
+	Allocations    float64
+	AllocatedBytes float64
+}
+
+// minSample is the least processor time of one measurement.
+const minSample = 60 * time.Millisecond
+
+// cost measures an operation, repeated until it took minSample.
+func cost(operation func()) Cost {
+	operation()
+	for count := 1; ; count *= 4 {
+		sample := repeat(operation, count)
+		if spent := sample.Processor * time.Duration(count); spent >= minSample {
+			return sample
+		}
+	}
+}
+
+// once measures a single run of a long operation.
+func once(operation func()) Cost {
+	return repeat(operation, 1)
+}
+
+func repeat(operation func(), count int) Cost {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	begun := processorTime()
+	for range count {
+		operation()
+	}
+	spent := processorTime() - begun
+	runtime.ReadMemStats(&after)
+	return Cost{
+		Processor:      spent / time.Duration(count),
+		Allocations:    float64(after.Mallocs-before.Mallocs) / float64(count),
+		AllocatedBytes: float64(after.TotalAlloc-before.TotalAlloc) / float64(count),
+	}
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		panic("getrusage: " + err.Error())
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// heapOf returns the heap bytes that stay in use after build, while its result lives.
+func heapOf[T any](build func() T) (T, float64) {
+	before := heapInUse()
+	result := build()
+	after := heapInUse()
+	runtime.KeepAlive(result)
+	return result, float64(after) - float64(before)
+}
+
+func heapInUse() uint64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- /dev/null
+++ b/measure/fleet/fleet.go
@@ -0,0 +1,178 @@
+// Package fleet makes the documents of deployments of any size, so that the
+// cost of a mechanism can be measured while a deployment grows.
+package fleet
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+
+	"github.com/teaselstack/teaselstack/intent"
+)
+
+// Size counts the parts of a deployment.
+type Size struct {
+	Nodes          int
+	Regions        int
+	FailureDomains int
+	Sites          int
+	ServersPerSite int
+	Blocks         int
+}
+
+// Today returns the size of one of the first deployments.
+func Today() Size {
+	return Size{
+		Nodes:          7,
+		Regions:        3,
+		FailureDomains: 6,
+		Sites:          2,
+		ServersPerSite: serversPerSite,
+		Blocks:         4,
+	}
+}
+
+// Hundredth returns about a hundredth of the target.
+func Hundredth() Size {
+	return Size{
+		Nodes:          36,
+		Regions:        4,
+		FailureDomains: 8,
+		Sites:          19,
+		ServersPerSite: serversPerSite,
+		Blocks:         5_200,
+	}
+}
+
+// Tenth returns about a tenth of the target.
+func Tenth() Size {
+	return Size{
+		Nodes:          360,
+		Regions:        8,
+		FailureDomains: 24,
+		Sites:          190,
+		ServersPerSite: serversPerSite,
+		Blocks:         52_000,
+	}
+}
+
+// Target returns the size that every mechanism is meant for.
+func Target() Size {
+	return Size{
+		Nodes:          3_600,
+		Regions:        32,
+		FailureDomains: 123,
+		Sites:          1_900,
+		ServersPerSite: serversPerSite,
+		Blocks:         520_000,
+	}
+}
+
+const (
+	// serversPerSite is the mean of the first deployments' services.
+	serversPerSite = 16
+	// domainsPerSite is over how many failure domains a site's servers stand.
+	domainsPerSite = 4
+	// slots of each backend server.
+	slots = 3
+)
+
+// Documents returns the documents of a deployment without its client blocks.
+func (s Size) Documents() []intent.Document {
+	documents := []intent.Document{{
+		Name:    intent.DeploymentDocument,
+		Content: []byte(s.deployment()),
+	}}
+	for site := range s.Sites {
+		documents = append(documents, s.Service(site, 1))
+	}
+	return documents
+}
+
+func (s Size) deployment() string {
+	var text strings.Builder
+	text.WriteString("name = \"fleet\"\n[objective]\nlatency = 0.4\nheadroom = 0.4\ndrain-time = 0.2\n")
+	for i := range s.Regions {
+		fmt.Fprintf(&text, "[[region]]\nname = \"%s\"\n", RegionName(i))
+	}
+	for i := range s.FailureDomains {
+		fmt.Fprintf(&text, "[[failure-domain]]\nname = \"%s\"\nregion = \"%s\"\n", DomainName(i), RegionName(i%s.Regions))
+	}
+	for i := range s.Nodes {
+		fmt.Fprintf(&text, "[[entry]]\nname = \"%s\"\nfailure-domain = \"%s\"\n", EntryName(i), DomainName(i%s.FailureDomains))
+	}
+	for a := range s.Regions {
+		for b := range a {
+			fmt.Fprintf(&text, "[[link]]\nbetween = [\"%s\", \"%s\"]\nrate = \"4 Gbit/s\"\ndelay = \"%dms\"\n",
+				RegionName(a), RegionName(b), 10+(a*7+b*3)%90)
+		}
+	}
+	return text.String()
+}
+
+// Service returns the document of one site; another revision of it differs in
+// its caps only.
+func (s Size) Service(site, revision int) intent.Document {
+	var text strings.Builder
+	fmt.Fprintf(&text, "name = \"%s\"\nclass = \"interactive\"\ndeadline = \"5s\"\n", SiteName(site))
+	domains := min(domainsPerSite, s.FailureDomains)
+	regions := make(map[int]bool)
+	for i := range domains {
+		region := s.domainOf(site, i) % s.Regions
+		if !regions[region] {
+			regions[region] = true
+			fmt.Fprintf(&text, "[[region]]\nname = \"%s\"\nmax-rate = %d\nshift-rate = 30\n", RegionName(region), 500+revision)
+		}
+	}
+	for i := range s.ServersPerSite {
+		fmt.Fprintf(&text, "[[backend-server]]\nname = \"%s-%d\"\naddress = \"10.%d.%d.%d:8080\"\nfailure-domain = \"%s\"\nslots = %d\n",
+			SiteName(site), i, site>>8, site&255, i+1, DomainName(s.domainOf(site, i%domains)), slots)
+	}
+	return intent.Document{
+		Name:    intent.ServicePrefix + SiteName(site) + ".toml",
+		Content: []byte(text.String()),
+	}
+}
+
+func (s Size) domainOf(site, i int) int {
+	return (site*7 + i) % s.FailureDomains
+}
+
+// BlockDocuments returns the client blocks, one document for each region.
+func (s Size) BlockDocuments() []intent.Document {
+	texts := make([]strings.Builder, s.Regions)
+	for i := range s.Blocks {
+		region := i / 16 % s.Regions
+		fmt.Fprintf(&texts[region], "%s %s\n", Block(i), RegionName(region))
+	}
+	documents := make([]intent.Document, 0, s.Regions)
+	for i := range texts {
+		documents = append(documents, intent.Document{
+			Name:    intent.BlockPrefix + RegionName(i) + ".blocks",
+			Content: []byte(texts[i].String()),
+		})
+	}
+	return documents
+}
+
+// Block returns client block number i: /24s of IPv4 with gaps between them, and
+// each eighth a /48 of IPv6.
+func Block(i int) netip.Prefix {
+	if i%8 == 0 {
+		return netip.PrefixFrom(netip.AddrFrom16([16]byte{0x20, 0x01, byte(i >> 16), byte(i >> 8), byte(i)}), 48)
+	}
+	first := uint32(1)<<24 + uint32(i)<<9
+	return netip.PrefixFrom(netip.AddrFrom4([4]byte{byte(first >> 24), byte(first >> 16), byte(first >> 8)}), 24)
+}
+
+// RegionName returns the name of region i.
+func RegionName(i int) string { return fmt.Sprintf("region-%02d", i) }
+
+// DomainName returns the name of failure domain i.
+func DomainName(i int) string { return fmt.Sprintf("domain-%03d", i) }
+
+// EntryName returns the name of entry VM i.
+func EntryName(i int) string { return fmt.Sprintf("entry-%04d", i) }
+
+// SiteName returns the name of site i.
+func SiteName(i int) string { return fmt.Sprintf("site-%04d", i) }
--- /dev/null
+++ b/measure/main.go
@@ -0,0 +1,48 @@
+// Command measure measures how far teaselstack's mechanisms carry, and checks
+// which promises are proved by which tests.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/go-faster/errors"
+	"github.com/jessevdk/go-flags"
+)
+
+// Exit codes of the program.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(args []string) int {
+	parser := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
+	parser.Name = "measure"
+	add(parser, "capacity", "measure how costs grow and print them beside the target", &capacityCommand{})
+	_, err := parser.ParseArgs(args)
+	var flagsErr *flags.Error
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp:
+		fmt.Println(err)
+		return exitOK
+	case errors.As(err, &flagsErr):
+		fmt.Fprintln(os.Stderr, "measure:", err)
+		return exitUsage
+	}
+	fmt.Fprintln(os.Stderr, "measure:", err)
+	return exitFailed
+}
+
+func add(parser *flags.Parser, name, help string, command any) {
+	if _, err := parser.AddCommand(name, help, help, command); err != nil {
+		panic(err)
+	}
+}
