--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 MODULES := ./... ./entry/... ./measure/... ./standin/... ./teaselctl/...
 DEPLOYMENT ?= kasikirjoitus
 
-.PHONY: build run test check generate tools capacity
+.PHONY: build run test check generate tools capacity proofs
 
 run: build
 	@examples/run.sh $(DEPLOYMENT)
@@ -40,3 +40,10 @@
 capacity: build
 	bin/measure capacity --page docs/CAPACITY.md
 	go test -count=1 -v -run TestEntryMemory ./measure/capacity
+
+# proofs runs the tests that docs/PROOFS.md names and prints its table with
+# their results.
+proofs: build
+	@bin/measure proofs --plan | while read -r package pattern; do \
+		go test -race -count=1 -json -run "$$pattern" "$$package"; \
+	done | bin/measure proofs
--- a/measure/commands.go
+++ b/measure/commands.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/teaselstack/teaselstack/measure/capacity"
+	"github.com/teaselstack/teaselstack/measure/proof"
 )
 
 type capacityCommand struct {
@@ -93,3 +94,34 @@
 	}
 	return nil
 }
+
+type proofsCommand struct {
+	Page string `long:"page" default:"docs/PROOFS.md" description:"page with the table of proofs"`
+	Plan bool   `long:"plan" description:"print a package and a pattern of tests a line, and read no results"`
+}
+
+// Execute prints the table of proofs with the results read from standard input.
+func (c *proofsCommand) Execute([]string) error {
+	content, err := os.ReadFile(c.Page)
+	if err != nil {
+		return errors.Wrap(err, "read page")
+	}
+	table, err := proof.Parse(string(content))
+	if err != nil {
+		return err
+	}
+	if c.Plan {
+		for _, line := range table.Plan() {
+			fmt.Println(line)
+		}
+		return nil
+	}
+	results, err := proof.ReadResults(os.Stdin)
+	if err != nil {
+		return err
+	}
+	if err := table.Write(os.Stdout, results); err != nil {
+		return err
+	}
+	return table.Err(results)
+}
--- a/measure/main.go
+++ b/measure/main.go
@@ -25,6 +25,7 @@
 	parser := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
 	parser.Name = "measure"
 	add(parser, "capacity", "measure how costs grow and print them beside the target", &capacityCommand{})
+	add(parser, "proofs", "list the tests that prove the promises, or print their results, read from go test -json", &proofsCommand{})
 	_, err := parser.ParseArgs(args)
 	var flagsErr *flags.Error
 	switch {
--- /dev/null
+++ b/measure/proof/proof_test.go
@@ -0,0 +1,109 @@
+package proof_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"testing/fstest"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"github.com/teaselstack/teaselstack/measure/proof"
+)
+
+// TestPageNamesTestsThatExist holds docs/PROOFS.md to the tree.
+func TestPageNamesTestsThatExist(t *testing.T) {
+	const root = "../.."
+	page, err := os.ReadFile(root + "/docs/PROOFS.md")
+	assert.NilError(t, err)
+	table, err := proof.Parse(string(page))
+	assert.NilError(t, err)
+	assert.Equal(t, len(table.Rows), 8)
+	assert.Equal(t, len(table.Faults), 9)
+	missing, err := table.Missing(os.DirFS(root))
+	assert.NilError(t, err)
+	assert.Equal(t, len(missing), 0, "the tree lacks %v", missing)
+}
+
+const page = `# Page
+
+| other | table |
+|---|---|
+| a | b |
+
+| promise | process dies | store down |
+|---|---|---|
+| caps hold | ` + "`entry/slot.TestCap`, `entry/slot.TestGone`" + ` | not proved: no fake yet |
+| runs once | ` + "`entry/key.TestOnce`" + ` | ` + "`entry/slot.TestCap`" + ` |
+
+| more | text |
+`
+
+func TestMissingAndPlan(t *testing.T) {
+	table, err := proof.Parse(page)
+	assert.NilError(t, err)
+	missing, err := table.Missing(fstest.MapFS{
+		"entry/slot/slot_test.go": {
+			Data: []byte("package slot\n\nfunc TestCap() {}\n"),
+		},
+		"entry/key/key_test.go": {
+			Data: []byte("package key\n\nfunc TestOnce() {}\n"),
+		},
+		"entry/slot/other.go": {
+			Data: []byte("package slot\n\nfunc TestGone() {}\n"),
+		},
+	})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, missing, []proof.Test{{
+		Package: "entry/slot",
+		Name:    "TestGone",
+	}})
+	assert.DeepEqual(t, table.Plan(), []string{
+		"./entry/key ^(TestOnce)$",
+		"./entry/slot ^(TestCap|TestGone)$",
+	})
+}
+
+func TestResultsInTable(t *testing.T) {
+	table, err := proof.Parse(page)
+	assert.NilError(t, err)
+	results, err := proof.ReadResults(strings.NewReader(`{"Action":"run","Package":"github.com/teaselstack/teaselstack/entry/slot","Test":"TestCap"}
+{"Action":"pass","Package":"github.com/teaselstack/teaselstack/entry/slot","Test":"TestCap"}
+{"Action":"fail","Package":"github.com/teaselstack/teaselstack/entry/key","Test":"TestOnce"}
+`))
+	assert.NilError(t, err)
+	var text strings.Builder
+	assert.NilError(t, table.Write(&text, results))
+	golden.Assert(t, text.String(), "table.golden")
+	assert.Error(t, table.Err(results), "proofs: entry/key.TestOnce failed, entry/slot.TestGone not run")
+}
+
+func TestParseRefuses(t *testing.T) {
+	for name, test := range map[string]struct {
+		page string
+		want string
+	}{
+		"no table": {
+			page: "text\n",
+			want: "no table",
+		},
+		"empty cell": {
+			page: "| promise | a |\n|---|---|\n| x | |\n",
+			want: "neither tests",
+		},
+		"no reason": {
+			page: "| promise | a |\n|---|---|\n| x | not proved: |\n",
+			want: "neither tests",
+		},
+		"too few cells": {
+			page: "| promise | a | b |\n|---|---|---|\n| x | not proved: y |\n",
+			want: "has 1 cells, want 2",
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := proof.Parse(test.page)
+			assert.ErrorContains(t, err, test.want)
+		})
+	}
+}
--- /dev/null
+++ b/measure/proof/result.go
@@ -0,0 +1,137 @@
+package proof
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/go-faster/errors"
+)
+
+// Result is how a test ended in its last run.
+type Result string
+
+// Results of a test.
+const (
+	Passed  Result = "passed"
+	Failed  Result = "failed"
+	Skipped Result = "skipped"
+	NotRun  Result = "not run"
+)
+
+// Results holds the result of each test that ran.
+type Results struct {
+	byTest map[Test]Result
+}
+
+// event is a line of go test -json.
+type event struct {
+	Action  string
+	Package string
+	Test    string
+}
+
+// module begins the import path of every package of the tree.
+const module = "github.com/teaselstack/teaselstack/"
+
+// ReadResults reads the output of go test -json.
+func ReadResults(r io.Reader) (Results, error) {
+	results := Results{
+		byTest: make(map[Test]Result),
+	}
+	decoder := json.NewDecoder(r)
+	for {
+		var next event
+		err := decoder.Decode(&next)
+		if errors.Is(err, io.EOF) {
+			return results, nil
+		}
+		if err != nil {
+			return Results{}, errors.Wrap(err, "read results of tests")
+		}
+		results.note(next)
+	}
+}
+
+func (r Results) note(next event) {
+	test := Test{
+		Package: strings.TrimPrefix(next.Package, module),
+		Name:    next.Test,
+	}
+	switch next.Action {
+	case "pass":
+		r.byTest[test] = Passed
+	case "fail":
+		r.byTest[test] = Failed
+	case "skip":
+		r.byTest[test] = Skipped
+	}
+}
+
+// Of returns the result of a test.
+func (r Results) Of(test Test) Result {
+	if result, ran := r.byTest[test]; ran {
+		return result
+	}
+	return NotRun
+}
+
+// Write prints the table with each test's result, and how many cells stand
+// proved, proved by a failing or absent run, and open.
+func (t Table) Write(w io.Writer, results Results) error {
+	var text strings.Builder
+	proved, broken, open := 0, 0, 0
+	for _, row := range t.Rows {
+		fmt.Fprintf(&text, "%s\n", row.Promise)
+		for i, cell := range row.Cells {
+			fmt.Fprintf(&text, "  %-24s %s\n", t.Faults[i], describe(cell, results))
+			switch {
+			case cell.Gap != "":
+				open++
+			case cell.holds(results):
+				proved++
+			default:
+				broken++
+			}
+		}
+	}
+	fmt.Fprintf(&text, "cells: %d passed, %d failed or not run, %d not proved\n", proved, broken, open)
+	_, err := io.WriteString(w, text.String())
+	return err
+}
+
+// holds reports whether all tests of a cell passed.
+func (c Cell) holds(results Results) bool {
+	for _, test := range c.Tests {
+		if results.Of(test) != Passed {
+			return false
+		}
+	}
+	return true
+}
+
+func describe(cell Cell, results Results) string {
+	if cell.Gap != "" {
+		return gapPrefix + cell.Gap
+	}
+	parts := make([]string, 0, len(cell.Tests))
+	for _, test := range cell.Tests {
+		parts = append(parts, fmt.Sprintf("%s %s", test, results.Of(test)))
+	}
+	return strings.Join(parts, ", ")
+}
+
+// Err returns an error naming the tests that did not pass, or nil.
+func (t Table) Err(results Results) error {
+	var names []string
+	for _, test := range t.Tests() {
+		if result := results.Of(test); result != Passed {
+			names = append(names, fmt.Sprintf("%s %s", test, result))
+		}
+	}
+	if len(names) == 0 {
+		return nil
+	}
+	return errors.Errorf("proofs: %s", strings.Join(names, ", "))
+}
