--- a/measure/capacity/lookups.go
+++ b/measure/capacity/lookups.go
@@ -1,9 +1,15 @@
 package capacity
 
 import (
+	"bytes"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 
+	"google.golang.org/protobuf/proto"
+
 	teaselv1 "github.com/teaselstack/teaselstack/api/teasel/v1"
+	"github.com/teaselstack/teaselstack/api/teasel/v1/teaselv1connect"
 	"github.com/teaselstack/teaselstack/entry/lookup"
 	"github.com/teaselstack/teaselstack/entry/membership"
 	"github.com/teaselstack/teaselstack/entry/slot"
@@ -19,6 +25,8 @@
 	share := lookupRow("a node's 2,083 look-ups a second", "of a core")
 	allocations := lookupRow("heap allocations of a look-up", "")
 	garbage := lookupRow("heap allocated by a look-up", "bytes")
+	exchange := lookupRow("look-up with its connect exchange, without sockets", "us of a core")
+	wire := lookupRow("answer of a look-up, body", "bytes")
 	for _, size := range []fleet.Size{fleet.Today(), fleet.Hundredth(), fleet.Tenth(), fleet.Target()} {
 		at := func(row *Row, value float64) {
 			row.Points = append(row.Points, slope.Point{
@@ -31,8 +39,11 @@
 		at(&share, each.Processor.Seconds()*LookupsPerNode)
 		at(&allocations, each.Allocations)
 		at(&garbage, each.AllocatedBytes)
+		server := NewLookupServer(size)
+		at(&exchange, float64(ExchangeCost(server).Processor.Nanoseconds())/1e3)
+		at(&wire, float64(proto.Size(Ask(server, size, 1))))
 	}
-	return []Row{answers, share, allocations, garbage}
+	return []Row{answers, share, allocations, garbage, exchange, wire}
 }
 
 func lookupRow(quantity, unit string) Row {
@@ -55,6 +66,28 @@
 	})
 }
 
+// ExchangeCost returns the cost of one look-up as the connect handler serves
+// it, request and answer encoded, without a socket.
+func ExchangeCost(server *lookup.Server) Cost {
+	path, handler := teaselv1connect.NewLookupServiceHandler(server)
+	content, err := proto.Marshal(&teaselv1.LookupRequest{
+		Service:       fleet.SiteName(0),
+		CallerAddress: blockAddress(0).String(),
+	})
+	if err != nil {
+		panic("encode a look-up: " + err.Error())
+	}
+	return cost(func() {
+		request := httptest.NewRequest(http.MethodPost, path+"Lookup", bytes.NewReader(content))
+		request.Header.Set("Content-Type", "application/proto")
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, request)
+		if recorder.Code != http.StatusOK {
+			panic("measured look-up: " + recorder.Body.String())
+		}
+	})
+}
+
 // Ask asks for look-up number i of a spread over services and client blocks.
 func Ask(server *lookup.Server, size fleet.Size, i int) *teaselv1.LookupResponse {
 	const step = 7919
