--- /dev/null
+++ b/measure/capacity/blocks.go
@@ -0,0 +1,139 @@
+package capacity
+
+import (
+	"fmt"
+	"net/netip"
+
+	"github.com/teaselstack/teaselstack/block"
+	"github.com/teaselstack/teaselstack/measure/fleet"
+	"github.com/teaselstack/teaselstack/measure/slope"
+)
+
+// blockCounts are the sizes of the block table; the last is the target.
+var blockCounts = []int{5_200, 52_000, 520_000}
+
+// regions is how many regions the measured blocks map to.
+const regions = 32
+
+// Blocks measures the table of client blocks.
+func Blocks() []Row {
+	memory := blockRow("table of client blocks, memory", "bytes", 0)
+	build := blockRow("building the whole table", "ms of a core", 0)
+	garbage := blockRow("heap allocated by building the whole table", "bytes", 0)
+	lookup := blockRow("region of an address", "ns of a core", 0)
+	replace := blockRow("a change of one document of 500 blocks", "ms of a core", 0)
+	share := blockRow("81,000 such changes a day", "of a core", ControlShare)
+	for _, count := range blockCounts {
+		size := float64(count)
+		prefixes := Prefixes(count)
+		table, bytes := heapOf(func() block.Table { return BuildTable(prefixes) })
+		memory.Points = append(memory.Points, slope.Point{
+			Size:  size,
+			Value: bytes,
+		})
+		whole := cost(func() { BuildTable(prefixes) })
+		build.Points = append(build.Points, slope.Point{
+			Size:  size,
+			Value: whole.Processor.Seconds() * 1e3,
+		})
+		garbage.Points = append(garbage.Points, slope.Point{
+			Size:  size,
+			Value: whole.AllocatedBytes,
+		})
+		lookup.Points = append(lookup.Points, slope.Point{
+			Size:  size,
+			Value: float64(LookupCost(table, prefixes).Processor.Nanoseconds()),
+		})
+		change := ReplaceCost(table, prefixes).Processor.Seconds()
+		replace.Points = append(replace.Points, slope.Point{
+			Size:  size,
+			Value: change * 1e3,
+		})
+		share.Points = append(share.Points, slope.Point{
+			Size:  size,
+			Value: change * ChangesPerSecond,
+		})
+	}
+	return []Row{memory, build, garbage, lookup, replace, share}
+}
+
+func blockRow(quantity, unit string, bound float64) Row {
+	return Row{
+		Quantity: quantity,
+		Unit:     unit,
+		Grows:    "client blocks",
+		Target:   float64(fleet.Target().Blocks),
+		Bound:    bound,
+	}
+}
+
+// Prefixes returns the first client blocks of a fleet.
+func Prefixes(count int) []netip.Prefix {
+	prefixes := make([]netip.Prefix, 0, count)
+	for i := range count {
+		prefixes = append(prefixes, fleet.Block(i))
+	}
+	return prefixes
+}
+
+// documentBlocks is how many client blocks a document holds: its text is then
+// about 13 KB, which the target's bytes a second carry at one change a second.
+const documentBlocks = 500
+
+// BuildTable maps prefixes to regions in turn, in documents of documentBlocks.
+func BuildTable(prefixes []netip.Prefix) block.Table {
+	var builder block.Builder
+	for i, prefix := range prefixes {
+		if i%documentBlocks == 0 {
+			builder.Begin(documentName(i / documentBlocks))
+		}
+		builder.Add(prefix, fleet.RegionName(i/16%regions))
+	}
+	return builder.Table()
+}
+
+// addressesPerRun is how many addresses one measured operation asks for, spread
+// over the table so that its memory is touched as callers would.
+const addressesPerRun = 4096
+
+// LookupCost returns the cost of one look-up in a table of prefixes.
+func LookupCost(table block.Table, prefixes []netip.Prefix) Cost {
+	const step = 7919
+	addresses := make([]netip.Addr, 0, addressesPerRun)
+	for i := range addressesPerRun {
+		addresses = append(addresses, prefixes[i*step%len(prefixes)].Addr())
+	}
+	run := cost(func() {
+		for _, address := range addresses {
+			if _, covered := table.Region(address); !covered {
+				panic("no region for " + address.String())
+			}
+		}
+	})
+	run.Processor /= addressesPerRun
+	run.Allocations /= addressesPerRun
+	run.AllocatedBytes /= addressesPerRun
+	return run
+}
+
+func documentName(i int) string {
+	return fmt.Sprintf("client-blocks/%06d.blocks", i)
+}
+
+// ReplaceCost returns the cost of putting another version of one document into
+// a table that BuildTable made of prefixes.
+func ReplaceCost(table block.Table, prefixes []netip.Prefix) Cost {
+	document := len(prefixes) / documentBlocks / 2
+	blocks := make([]block.Block, 0, documentBlocks)
+	for _, prefix := range prefixes[document*documentBlocks : (document+1)*documentBlocks] {
+		blocks = append(blocks, block.Block{
+			Prefix: prefix,
+			Region: fleet.RegionName(0),
+		})
+	}
+	return cost(func() {
+		if table.Replace(documentName(document), blocks).Len() != table.Len() {
+			panic("a replaced document changed the number of blocks")
+		}
+	})
+}
