Relay with delays, rates and cuts; faults on command; callers that check every promise

Entries and callers may reach others through a SOCKS5 relay named in the settings. The stand-in's relay knows from the examples where each address stands, delays each direction, keeps the rate of a link over all connections and cuts places off. A transparent TCP proxy per destination was weighed: it needs one listener for each pair of places and hides the source.

--- a/entry/machine.go
+++ b/entry/machine.go
@@ -74,7 +74,8 @@
 		events:   timeline.NewRing(loaded.Name, loaded.Limits.TimelineEvents, clock),
 	}
 	service := platform.NewClient(loaded.Platform, &http.Client{
-		Timeout: platformTimeout,
+		Transport: m.newTransport(),
+		Timeout:   platformTimeout,
 	}).Platform()
 	m.keeper = &configuration.Keeper{
 		Platform: service,
@@ -138,7 +139,7 @@
 	return &http.Client{
 		Transport: authenticated{
 			key:  m.settings.PeerKey,
-			next: newTransport(),
+			next: m.newTransport(),
 		},
 	}
 }
@@ -155,11 +156,10 @@
 	return a.next.RoundTrip(request)
 }
 
-func newTransport() *http.Transport {
+// newTransport returns a transport to peers, backend servers or the platform.
+func (m *machine) newTransport() *http.Transport {
 	return &http.Transport{
-		DialContext: (&net.Dialer{
-			Timeout: dialTimeout,
-		}).DialContext,
+		DialContext:           newDial(m.settings),
 		MaxIdleConnsPerHost:   idleConnections,
 		IdleConnTimeout:       time.Minute,
 		ExpectContinueTimeout: expectTimeout,
@@ -182,8 +182,8 @@
 		Quarantine:    &quarantine.List{},
 		Events:        m.events,
 		Metrics:       m.metrics,
-		Backends:      newTransport(),
-		Peers:         newTransport(),
+		Backends:      m.newTransport(),
+		Peers:         m.newTransport(),
 	}
 }
 
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -29,9 +29,17 @@
 	Peers       []string `toml:"peers"`
 	PeerKey     string   `toml:"peer-key"`
 	OperatorKey string   `toml:"operator-key"`
+	Network     Network  `toml:"network"`
 	Limits      Limits   `toml:"limits"`
 }
 
+// Network says how an entry reaches others.
+type Network struct {
+	// Relay is the address of a SOCKS5 relay for all connections that the entry
+	// opens; empty means that it connects directly.
+	Relay string `toml:"relay"`
+}
+
 // Limits bounds what an entry uses and waits for.
 type Limits struct {
 	HeaderBytes       int               `toml:"header-bytes"`
@@ -118,6 +126,9 @@
 	if err != nil || base.Scheme == "" || base.Host == "" {
 		c.fault("platform", "%q is no URL such as http://10.0.0.1:7000", s.Platform)
 	}
+	if s.Network.Relay != "" {
+		c.address("network.relay", s.Network.Relay)
+	}
 	c.key("peer-key", s.PeerKey)
 	c.key("operator-key", s.OperatorKey)
 	c.limits(s.Limits)
--- a/examples/run.sh
+++ b/examples/run.sh
@@ -1,48 +1,77 @@
 #!/usr/bin/env bash
 # Runs a whole deployment on loopback addresses for a bounded time: stand-ins,
 # entries, publication, mixed load, a drain under it, and a graceful stop.
-# Exits with 0 only if every promise held.
+# Exits with 0 only if every promise held. Logs stay under run/DEPLOYMENT.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 deployment=${1:?usage: examples/run.sh DEPLOYMENT}
-example=examples/$deployment
-[ -d "$example" ] || { echo "no deployment $deployment under examples/" >&2; exit 2; }
+site=examples/$deployment
+[ -d "$site" ] || { echo "no deployment $deployment under examples/" >&2; exit 2; }
 logs=run/$deployment
+rm -rf "$logs"
 mkdir -p "$logs"
-pids=()
+export TEASELCTL_SETTINGS=$site/teaselctl.toml
+
+say() { printf '%(%T)T %s\n' -1 "$*"; }
+now() { date -u +%Y-%m-%dT%H:%M:%S.%NZ; }
+
+entries=()   # process ids of the entries
+others=()    # process ids of the stand-ins
+# stop ends what is left, whatever happened.
 stop() {
-	for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
-	wait
+	local pid
+	for pid in "${entries[@]}" "${others[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
+	wait 2>/dev/null || true
 }
 trap stop EXIT
-start() {
-	local name=$1
-	shift
-	"$@" >"$logs/$name.log" 2>&1 &
-	pids+=($!)
-}
-value() { sed -n "s/^$1 = \"\(.*\)\"/\1/p" "$2"; }
+trap 'exit 130' INT TERM
 
-platform=$(value platform "$example/teaselctl.toml")
-start platform bin/standin platform --address "${platform#http://}"
-control=${platform#http://127.0.0.1:}
-control=127.0.0.1:$((control + 1))
-start backends bin/standin backends --intents "$example/intents" --control "$control"
-entries=()
-for file in "$example"/entries/*.toml; do
-	start "$(basename "$file" .toml)" bin/entry --settings "$file"
-	entries+=(--entry "$(value callers-address "$file")")
+say "starting the stand-ins: platform, backend servers, network"
+for part in platform backends link; do
+	bin/standin "$part" --site "$site" >"$logs/$part.log" 2>&1 &
+	others+=($!)
+done
+
+say "starting the entries, logs in $logs"
+for file in "$site"/entries/*.toml; do
+	bin/entry --settings "$file" >"$logs/$(basename "$file" .toml).log" 2>&1 &
+	entries+=($!)
 done
-export TEASELCTL_SETTINGS=$example/teaselctl.toml
+
+say "publishing $site/intents"
+published=
 for _ in $(seq 50); do
-	bin/teaselctl publish --wait "$example/intents" >"$logs/publish.log" 2>&1 && break
+	if bin/teaselctl publish --wait "$site/intents" >"$logs/publish.log" 2>&1; then published=1; break; fi
 	sleep 0.1
 done
 cat "$logs/publish.log"
-bin/standin load --intents "$example/intents" "${entries[@]}" --duration 10s --rate 200 &
+[ -n "$published" ] || { echo "the intents could not be published" >&2; exit 1; }
+
+say "sending a mixed load"
+bin/standin load --site "$site" --drain "$logs/drain" >"$logs/load.log" 2>&1 &
 load=$!
-sleep 3
-leaving=$(ls "$example/intents/services" | head -1)
-bin/teaselctl drain backend-server "${leaving%.toml}-1" --wait
-wait "$load"
-bin/teaselctl status
+others+=("$load")
+sleep 4
+services=("$site"/intents/services/*.toml)
+leaving=$(basename "${services[0]}" .toml)-1
+say "draining backend server $leaving under the load"
+asked=$(now)
+drained=0
+bin/teaselctl drain backend-server "$leaving" --wait || drained=$?
+echo "$leaving $asked $(now)" >"$logs/drain"
+failed=0
+[ "$drained" = 0 ] || { echo "the drain ended with exit code $drained"; failed=1; }
+wait "$load" || failed=1
+bin/teaselctl status >"$logs/status.log" || failed=1
+cat "$logs/load.log"
+
+say "stopping the entries gracefully"
+for pid in "${entries[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
+for i in "${!entries[@]}"; do
+	code=0
+	wait "${entries[$i]}" || code=$?
+	[ "$code" = 0 ] || { echo "entry-$((i + 1)) ended with exit code $code, see $logs"; failed=1; }
+done
+entries=()
+if [ "$failed" = 0 ]; then say "every promise held"; else say "a promise was broken"; fi
+exit "$failed"
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -1,18 +1,22 @@
 // Package backend serves backend servers that count what they run, so that a
-// test can compare it with what callers were told.
+// test can compare it with what callers were told, and that fail on command.
 package backend
 
 import (
+	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
+	"net/url"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/teaselstack/teaselstack/header"
-	"github.com/teaselstack/teaselstack/intent"
 )
 
 // Server is one backend server.
@@ -23,111 +27,145 @@
 
 	fleet    *Fleet
 	inFlight atomic.Int64
-}
+	// crash ends the running process; it is set by Serve.
+	crash atomic.Pointer[func()]
 
-// Fleet is all backend servers of a deployment. Its own handler reports.
-type Fleet struct {
-	servers []*Server
-
-	mu     sync.Mutex
-	report Report
+	mu        sync.Mutex
+	fault     Fault
+	coldUntil time.Time
+	sampledAt time.Time
+	sampled   int64
 }
 
-// Report is what the fleet has run.
-type Report struct {
-	// Runs counts the runs of each idempotency key.
-	Runs map[string]int `json:"runs"`
-	// Requests counts all requests run.
-	Requests int `json:"requests"`
-	// OverSlots counts requests that found all slots of their server in use.
-	OverSlots int `json:"over-slots"`
-	// LastStart is when each backend server last began a request.
-	LastStart map[string]time.Time `json:"last-start"`
-}
+// headerTimeout bounds the reading of a request's header.
+const headerTimeout = 10 * time.Second
 
-// NewFleet returns the backend servers that documents name.
-func NewFleet(documents []intent.Document) (*Fleet, error) {
-	configuration, err := intent.Compile(1, documents)
-	if err != nil {
-		return nil, err
-	}
-	fleet := &Fleet{
-		report: Report{
-			Runs:      make(map[string]int),
-			LastStart: make(map[string]time.Time),
-		},
-	}
-	for _, service := range configuration.Services {
-		for _, server := range service.BackendServers {
-			fleet.servers = append(fleet.servers, &Server{
-				Name:    server.Name,
-				Address: server.Address,
-				Slots:   server.Slots,
-				fleet:   fleet,
-			})
+// Serve runs the server until ctx is done. After a crash it comes back.
+func (s *Server) Serve(ctx context.Context) error {
+	for {
+		listener, err := net.Listen("tcp", s.Address)
+		if err != nil {
+			return errors.Wrapf(err, "listen for %s", s.Name)
+		}
+		s.serveOnce(ctx, listener)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(downTime):
 		}
 	}
-	return fleet, nil
 }
 
-// Servers returns all backend servers.
-func (f *Fleet) Servers() []*Server {
-	return f.servers
-}
-
-// ServeHTTP reports what the fleet has run.
-func (f *Fleet) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(f.report)
-}
-
-func (f *Fleet) count(server *Server, key string, over bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.report.Requests++
-	f.report.LastStart[server.Name] = time.Now()
-	if key != "" {
-		f.report.Runs[key]++
-	}
-	if over {
-		f.report.OverSlots++
+// serveOnce serves until ctx is done or the server crashes.
+func (s *Server) serveOnce(ctx context.Context, listener net.Listener) {
+	server := &http.Server{
+		Handler:           s,
+		ReadHeaderTimeout: headerTimeout,
 	}
+	crash := func() { _ = server.Close() }
+	s.crash.Store(&crash)
+	stop := context.AfterFunc(ctx, crash)
+	defer stop()
+	_ = server.Serve(listener)
 }
 
 // healthPath is where probes go.
 const healthPath = "/health"
 
+// Names of the query that tells a backend server what to do.
+const (
+	// QueryWork is how long the request runs.
+	QueryWork = "work"
+	// QueryEcho is the request's own mark.
+	QueryEcho = "echo"
+	// QueryAnswer is how many bytes the answer's filling has.
+	QueryAnswer = "answer"
+	// QueryPoison crashes every backend server that runs the request.
+	QueryPoison = "poison"
+)
+
 // ServeHTTP runs one request: it reads the body, takes as long as the query
 // says, and answers with as many bytes as asked.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == healthPath {
-		w.Header().Set(header.Load, strconv.FormatInt(s.inFlight.Load(), 10))
+		s.probe(w)
 		return
 	}
 	inFlight := s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	s.fleet.count(s, r.Header.Get(header.IdempotencyKey), inFlight > int64(s.Slots))
+	fault := s.strike()
+	over := inFlight > int64(s.Slots)
+	if over || fault.Shed {
+		s.shed(w, over)
+		return
+	}
+	query := r.URL.Query()
+	s.begin(r.Header.Get(header.IdempotencyKey), query.Get(QueryEcho))
+	if query.Has(QueryPoison) {
+		s.fleet.change(func(report *Report) { report.Crashes++ })
+		(*s.crash.Load())()
+		return
+	}
 	received, err := io.Copy(io.Discard, r.Body)
-	if err != nil {
+	if err != nil || s.work(r.Context(), query, fault) != nil {
 		return
 	}
-	if work, err := time.ParseDuration(r.URL.Query().Get("work")); err == nil {
-		select {
-		case <-time.After(work):
-		case <-r.Context().Done():
-			return
-		}
+	s.answer(w, r, query, fault, received)
+}
+
+func (s *Server) probe(w http.ResponseWriter) {
+	w.Header().Set(header.Load, strconv.FormatInt(s.reportedLoad(), 10))
+	if s.current().Unhealthy {
+		w.WriteHeader(http.StatusServiceUnavailable)
 	}
-	w.Header().Set(header.RequestID, r.Header.Get(header.RequestID))
-	w.Header().Set(header.Load, strconv.FormatInt(s.inFlight.Load(), 10))
-	_ = json.NewEncoder(w).Encode(Answer{
-		Server:   s.Name,
-		Echo:     r.URL.Query().Get("echo"),
-		Received: received,
+}
+
+func (s *Server) shed(w http.ResponseWriter, over bool) {
+	s.fleet.change(func(report *Report) {
+		report.Shed++
+		if over {
+			report.OverSlots++
+		}
+	})
+	w.Header().Set(header.Shed, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// begin counts a run.
+func (s *Server) begin(key, mark string) {
+	s.fleet.change(func(report *Report) {
+		report.Requests++
+		report.LastStart[s.Name] = time.Now()
+		if key != "" {
+			report.Runs[key]++
+		}
+		if mark != "" {
+			report.Marks[mark]++
+		}
 	})
 }
 
+// work takes the time that the request asks for, and what the fault adds.
+func (s *Server) work(ctx context.Context, query url.Values, fault Fault) error {
+	span, err := time.ParseDuration(query.Get(QueryWork))
+	if err != nil {
+		span = 0
+	}
+	if s.cold() {
+		span *= ColdFactor
+	}
+	var end <-chan time.Time
+	if !fault.Hang {
+		end = time.After(span + time.Duration(fault.Late))
+	}
+	select {
+	case <-end:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // Answer is a backend server's answer.
 type Answer struct {
 	Server string `json:"server"`
@@ -135,4 +173,38 @@
 	Echo string `json:"echo"`
 	// Received counts the bytes of the request's body.
 	Received int64 `json:"received"`
+	// Filling is as long as the request asked.
+	Filling string `json:"filling,omitempty"`
+}
+
+// maxFilling bounds the filling of an answer, in bytes.
+const maxFilling = 64 << 20
+
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, query url.Values, fault Fault, received int64) {
+	result := Answer{
+		Server:   s.Name,
+		Echo:     query.Get(QueryEcho),
+		Received: received,
+	}
+	if size, err := strconv.Atoi(query.Get(QueryAnswer)); err == nil && size > 0 {
+		result.Filling = string(make([]byte, min(size, maxFilling)))
+	}
+	id := r.Header.Get(header.RequestID)
+	if fault.Crossed {
+		id = "another-" + id
+		result.Echo = "another"
+	}
+	content, err := json.Marshal(result)
+	if err != nil {
+		panic("encode answer: " + err.Error())
+	}
+	w.Header().Set(header.RequestID, id)
+	w.Header().Set(header.Load, strconv.FormatInt(s.reportedLoad(), 10))
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(content)))
+	if fault.Short {
+		_, _ = w.Write(content[:len(content)/2])
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(content)
 }
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -1,219 +1,287 @@
-// Package caller sends a mixed load as callers do: each asks an entry which
-// one to use, sends its request there, and checks the answer against what it
-// asked.
 package caller
 
 import (
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
-	"strings"
+	"strconv"
 	"sync"
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/go-faster/errors"
 
 	teaselv1 "github.com/teaselstack/teaselstack/api/teasel/v1"
 	"github.com/teaselstack/teaselstack/api/teasel/v1/teaselv1connect"
 	"github.com/teaselstack/teaselstack/header"
-	"github.com/teaselstack/teaselstack/intent"
 	"github.com/teaselstack/teaselstack/outcome"
 	"github.com/teaselstack/teaselstack/standin/backend"
 )
 
-// Load is a mixed load at a fixed rate.
-type Load struct {
-	configuration *intent.Configuration
-	entries       []string
-	rate          float64
-	seed          uint64
-	client        *http.Client
+// caller is one user of the services.
+type caller struct {
+	address string
+	http    *http.Client
+	seeds   []string
 
-	mu     sync.Mutex
-	report Report
+	mu sync.Mutex
+	// next is the seed that is asked next.
+	next    int
+	answers map[string]cached
 }
 
-// Report counts what callers were told.
-type Report struct {
-	Outcomes map[string]int
-	// Wrong counts answers that did not match their request.
-	Wrong int
-	// Failed counts requests without any outcome.
-	Failed  int
-	Latency *hdrhistogram.Histogram
+// cached is the answer to a look-up, kept for its lifetime.
+type cached struct {
+	entries []string
+	expires time.Time
 }
 
-// maxLatency is the longest latency recorded.
-const maxLatency = time.Minute
+// Result is how one request ended.
+type Result struct {
+	Kind    Kind
+	Mark    string
+	Keys    []string
+	Outcome outcome.Kind
+	// Reason is the entry's, or NoAnswer.
+	Reason outcome.Reason
+	// Wrong is set when the answer did not match the request.
+	Wrong    bool
+	Attempts int
+	Latency  time.Duration
+}
 
-// NewLoad returns a load on the services that documents name.
-func NewLoad(documents []intent.Document, entries []string, rate float64, seed uint64) (*Load, error) {
-	configuration, err := intent.Compile(1, documents)
-	if err != nil {
-		return nil, err
-	}
-	return &Load{
-		configuration: configuration,
-		entries:       entries,
-		rate:          rate,
-		seed:          seed,
-		client: &http.Client{
-			Transport: &http.Transport{
-				MaxIdleConnsPerHost: 64,
-			},
-			Timeout: maxLatency,
-		},
-		report: Report{
-			Outcomes: make(map[string]int),
-			Latency:  hdrhistogram.New(1, maxLatency.Microseconds(), 3),
-		},
-	}, nil
+// NoAnswer is the reason of a request that no entry gave an outcome for.
+const NoAnswer outcome.Reason = "no-answer"
+
+const (
+	// firstPause is the wait before a second attempt; it doubles up to maxPause.
+	firstPause = 20 * time.Millisecond
+	maxPause   = 500 * time.Millisecond
+	// grace is how long a caller waits past its own deadline.
+	grace = 2 * time.Second
+	// lookupTimeout bounds one look-up.
+	lookupTimeout = 3 * time.Second
+)
+
+// attempt is what one try of a request brought.
+type attempt struct {
+	outcome outcome.Kind
+	reason  outcome.Reason
+	wrong   bool
+	// retryAt is the entry that the refusal names, or "".
+	retryAt string
 }
 
-// Run sends requests for a while, then waits for their answers.
-func (l *Load) Run(ctx context.Context, duration time.Duration) *Report {
-	random := rand.New(rand.NewPCG(l.seed, 0))
-	ticker := time.NewTicker(time.Duration(float64(time.Second) / l.rate))
-	defer ticker.Stop()
-	end := time.After(duration)
-	var group sync.WaitGroup
-	for number := 0; ; number++ {
+// send brings one request to its end: it tries again after a refusal that says
+// not run, and, when the request is idempotent, after any failure.
+func (c *caller) send(asked request) Result {
+	ctx, cancel := context.WithTimeout(context.Background(), asked.timeout)
+	defer cancel()
+	began := time.Now()
+	result := Result{
+		Kind:    asked.kind,
+		Mark:    asked.mark,
+		Outcome: outcome.NotRun,
+		Reason:  NoAnswer,
+	}
+	pause := firstPause
+	address := ""
+	for ctx.Err() == nil {
+		tried := c.try(ctx, asked, address, &result)
+		result.Outcome, result.Reason, result.Wrong = tried.outcome, tried.reason, tried.wrong
+		if tried.outcome == outcome.Done || tried.outcome == outcome.Unknown && asked.method != http.MethodGet {
+			break
+		}
+		address = tried.retryAt
 		select {
+		case <-time.After(pause):
 		case <-ctx.Done():
-		case <-end:
-		case <-ticker.C:
-			job := l.choose(random, number)
-			group.Go(func() { l.send(ctx, job) })
-			continue
 		}
-		group.Wait()
-		return &l.report
+		pause = min(2*pause, maxPause)
 	}
+	result.Latency = time.Since(began)
+	return result
 }
 
-// job is one request of the mix.
-type job struct {
-	service string
-	entry   string
-	method  string
-	mark    string
-	work    time.Duration
-	body    []byte
+// try sends the request once, to an address or else where the look-up says.
+func (c *caller) try(ctx context.Context, asked request, address string, result *Result) attempt {
+	notSent := attempt{
+		outcome: outcome.NotRun,
+		reason:  NoAnswer,
+	}
+	entries, err := c.entries(ctx, asked.service)
+	if err != nil {
+		return notSent
+	}
+	if address == "" {
+		address = entries[result.Attempts%len(entries)]
+	}
+	result.Attempts++
+	key := asked.key
+	if key == "" && asked.method != http.MethodGet {
+		if key, err = c.ticket(ctx, address, asked.service); err != nil {
+			c.forget(asked.service)
+			return notSent
+		}
+	}
+	if key != "" {
+		result.Keys = append(result.Keys, key)
+	}
+	tried, err := c.exchange(ctx, asked, address, key)
+	if err != nil {
+		c.forget(asked.service)
+	}
+	return tried
 }
 
-const (
-	uploadBytes  = 256 << 10
-	bookingShare = 0.2
-)
-
-func (l *Load) choose(random *rand.Rand, number int) job {
-	service := l.configuration.Services[random.IntN(len(l.configuration.Services))]
-	next := job{
-		service: service.Name,
-		entry:   l.entries[random.IntN(len(l.entries))],
-		method:  http.MethodGet,
-		mark:    fmt.Sprintf("%d-%d", l.seed, number),
-		work:    time.Duration(1+random.IntN(20)) * time.Millisecond,
-	}
-	switch {
-	case service.Class == intent.Bulk:
-		next.method = http.MethodPut
-		next.body = make([]byte, uploadBytes)
-	case random.Float64() < bookingShare:
-		next.method = http.MethodPost
-		next.body = []byte("offer " + next.mark)
-	}
-	return next
+// entries returns the entries for a service, from memory while the last answer
+// lives.
+func (c *caller) entries(ctx context.Context, service string) ([]string, error) {
+	c.mu.Lock()
+	known := c.answers[service]
+	seed := c.seeds[c.next%len(c.seeds)]
+	c.mu.Unlock()
+	if time.Now().Before(known.expires) {
+		return known.entries, nil
+	}
+	found, err := c.lookup(ctx, seed, service, 0)
+	if err == nil && len(found.GetEntries()) == 0 {
+		err = errors.New("the answer names no entry")
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil {
+		c.next++
+		return nil, err
+	}
+	fresh := cached{
+		expires: time.Now().Add(found.GetLifetime().AsDuration()),
+	}
+	for _, entry := range found.GetEntries() {
+		fresh.entries = append(fresh.entries, entry.GetAddress())
+	}
+	c.answers[service] = fresh
+	return fresh.entries, nil
 }
 
-func (l *Load) send(ctx context.Context, job job) {
-	began := time.Now()
-	result, wrong, err := l.exchange(ctx, job)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	_ = l.report.Latency.RecordValue(time.Since(began).Microseconds())
-	switch {
-	case err != nil:
-		l.report.Failed++
-	case wrong:
-		l.report.Wrong++
-	default:
-		l.report.Outcomes[result]++
-	}
+// forget drops the answer for a service, whose entry did not serve.
+func (c *caller) forget(service string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.answers, service)
+	c.next++
 }
 
-func (l *Load) exchange(ctx context.Context, job job) (result string, wrong bool, err error) {
-	lookups := teaselv1connect.NewLookupServiceClient(l.client, "http://"+job.entry)
-	found, err := lookups.Lookup(ctx, connect.NewRequest(&teaselv1.LookupRequest{
-		Service: job.service,
-		Tickets: 1,
+func (c *caller) lookup(ctx context.Context, address, service string, tickets uint32) (*teaselv1.LookupResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
+	found, err := teaselv1connect.NewLookupServiceClient(c.http, "http://"+address).Lookup(ctx, connect.NewRequest(&teaselv1.LookupRequest{
+		Service:       service,
+		CallerAddress: c.address,
+		Tickets:       tickets,
 	}))
 	if err != nil {
-		return "", false, err
-	}
-	query := url.Values{
-		"echo": {job.mark},
-		"work": {job.work.String()},
-	}
-	// A ticket is run by the entry that issued it.
-	address := job.entry
-	if job.method == http.MethodGet && len(found.Msg.GetEntries()) > 0 {
-		address = found.Msg.GetEntries()[0].GetAddress()
+		return nil, err
 	}
-	request, err := http.NewRequestWithContext(ctx, job.method, "http://"+address+"/work?"+query.Encode(), bytes.NewReader(job.body))
+	return found.Msg, nil
+}
+
+// ticket asks an entry for a key that it runs itself.
+func (c *caller) ticket(ctx context.Context, address, service string) (string, error) {
+	found, err := c.lookup(ctx, address, service, 1)
 	if err != nil {
-		return "", false, err
+		return "", err
+	}
+	if len(found.GetTickets()) == 0 {
+		return "", errors.New("the answer holds no ticket")
 	}
-	request.Header.Set(header.Service, job.service)
-	if job.method != http.MethodGet {
-		request.Header.Set(header.IdempotencyKey, found.Msg.GetTickets()[0])
+	return found.GetTickets()[0], nil
+}
+
+// exchange sends the request to one entry. An error says that the entry gave no
+// outcome.
+func (c *caller) exchange(ctx context.Context, asked request, address, key string) (attempt, error) {
+	var connected bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected = true },
+	})
+	traced, cancel := context.WithTimeout(context.WithoutCancel(traced), time.Until(deadline(ctx))+grace)
+	defer cancel()
+	lost := attempt{
+		outcome: outcome.Unknown,
+		reason:  NoAnswer,
 	}
-	response, err := l.client.Do(request)
+	out := asked.build(traced, address, key)
+	out.Header.Set(header.TimeoutMS, strconv.FormatInt(max(1, time.Until(deadline(ctx)).Milliseconds()), 10))
+	response, err := c.http.Do(out)
 	if err != nil {
-		return "", false, err
+		if !connected {
+			lost.outcome = outcome.NotRun
+		}
+		return lost, err
 	}
 	content, err := io.ReadAll(response.Body)
 	_ = response.Body.Close()
+	kind := outcome.Parse(response.Header.Get(header.Outcome))
 	if err != nil {
-		return "", false, err
+		return lost, err
 	}
-	result = response.Header.Get(header.Outcome)
-	if result != outcome.Done.String() {
-		return result + " " + response.Header.Get(header.Reason), false, nil
+	tried := attempt{
+		outcome: kind,
+		reason:  outcome.Reason(response.Header.Get(header.Reason)),
+		retryAt: response.Header.Get(header.Retry),
 	}
-	var answer backend.Answer
-	if err := json.Unmarshal(content, &answer); err != nil {
-		return "", false, err
+	if kind == outcome.Done {
+		tried.wrong = !asked.matches(content)
 	}
-	return result, answer.Echo != job.mark || answer.Received != int64(len(job.body)), nil
+	return tried, nil
 }
 
-// String returns the report as a table.
-func (r *Report) String() string {
-	var text strings.Builder
-	for result, count := range r.Outcomes {
-		fmt.Fprintf(&text, "%-40s %8d\n", result, count)
+func deadline(ctx context.Context) time.Time {
+	until, _ := ctx.Deadline()
+	return until
+}
+
+// build returns the HTTP request. Its body can't be rewound, so that the
+// transport never sends it a second time on its own.
+func (r request) build(ctx context.Context, address, key string) *http.Request {
+	query := url.Values{
+		backend.QueryEcho:   {r.mark},
+		backend.QueryWork:   {r.work.String()},
+		backend.QueryAnswer: {strconv.Itoa(r.answerBytes)},
 	}
-	fmt.Fprintf(&text, "%-40s %8d\n", "wrong answers", r.Wrong)
-	fmt.Fprintf(&text, "%-40s %8d\n", "failed", r.Failed)
-	for _, quantile := range []float64{50, 99} {
-		latency := time.Duration(r.Latency.ValueAtQuantile(quantile)) * time.Microsecond
-		fmt.Fprintf(&text, "latency p%-29g %14s\n", quantile, latency)
+	out, err := http.NewRequestWithContext(ctx, r.method, "http://"+address+"/work?"+query.Encode(), nil)
+	if err != nil {
+		panic("build request: " + err.Error())
 	}
-	return text.String()
+	if r.bodyBytes > 0 {
+		out.Body = io.NopCloser(io.LimitReader(zeros{}, int64(r.bodyBytes)))
+		out.ContentLength = int64(r.bodyBytes)
+	}
+	out.Header.Set(header.Service, r.service)
+	if key != "" {
+		out.Header.Set(header.IdempotencyKey, key)
+	}
+	return out
+}
+
+// zeros is an endless body.
+type zeros struct{}
+
+func (zeros) Read(buffer []byte) (int, error) {
+	clear(buffer)
+	return len(buffer), nil
 }
 
-// Err returns an error when a promise was broken.
-func (r *Report) Err() error {
-	if r.Wrong > 0 || r.Failed > 0 {
-		return errors.Errorf("%d wrong answers, %d requests without an outcome", r.Wrong, r.Failed)
+// matches reports whether an answer is the whole one to this request.
+func (r request) matches(content []byte) bool {
+	var answer backend.Answer
+	if err := json.NewDecoder(bytes.NewReader(content)).Decode(&answer); err != nil {
+		return false
 	}
-	return nil
+	return answer.Echo == r.mark && answer.Received == int64(r.bodyBytes) && len(answer.Filling) == r.answerBytes
 }
--- a/standin/commands.go
+++ b/standin/commands.go
@@ -2,90 +2,166 @@
 
 import (
 	"context"
-	"fmt"
+	"encoding/json"
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/teaselstack/teaselstack/platform/memory"
-	"github.com/teaselstack/teaselstack/publication"
 	"github.com/teaselstack/teaselstack/standin/backend"
 	"github.com/teaselstack/teaselstack/standin/caller"
+	"github.com/teaselstack/teaselstack/standin/relay"
+	"github.com/teaselstack/teaselstack/standin/site"
 	"github.com/teaselstack/teaselstack/standin/store"
 )
 
 // headerTimeout bounds the reading of a request's header.
 const headerTimeout = 10 * time.Second
 
+// siteOption names the deployment that a command belongs to.
+type siteOption struct {
+	Site string `long:"site" required:"true" value-name:"DIRECTORY" description:"directory of a deployment, as under examples/"`
+}
+
 type platformCommand struct {
-	ctx     context.Context
-	Address string `long:"address" required:"true" description:"IP address and port to listen on"`
+	siteOption
+	ctx context.Context
 }
 
 // Execute serves until the program is stopped.
 func (c *platformCommand) Execute([]string) error {
-	server := &store.Server{
-		Store: &memory.Store{},
+	loaded, err := site.Load(c.Site)
+	if err != nil {
+		return err
 	}
-	return serveAll(c.ctx, []endpoint{{
-		address: c.Address,
-		handler: server,
-	}})
+	server := store.New(&memory.Store{})
+	return serveAll(c.ctx, []endpoint{
+		{
+			address: loaded.Settings.Platform,
+			handler: server,
+		},
+		{
+			address: loaded.Settings.PlatformControl,
+			handler: server.Control(),
+		},
+	}, nil)
 }
 
 type backendsCommand struct {
-	ctx     context.Context
-	Intents string `long:"intents" required:"true" description:"directory of intents"`
-	Control string `long:"control" required:"true" description:"IP address and port to report and to be told of faults on"`
+	siteOption
+	ctx context.Context
 }
 
 // Execute serves until the program is stopped.
 func (c *backendsCommand) Execute([]string) error {
-	documents, err := publication.Collect(os.DirFS(c.Intents))
+	loaded, err := site.Load(c.Site)
 	if err != nil {
 		return err
 	}
-	fleet, err := backend.NewFleet(documents)
+	fleet := backend.NewFleet(loaded.Configuration)
+	return serveAll(c.ctx, []endpoint{{
+		address: loaded.Settings.BackendsControl,
+		handler: fleet.Control(),
+	}}, fleet.Serve)
+}
+
+type linkCommand struct {
+	siteOption
+	ctx context.Context
+}
+
+// Execute serves until the program is stopped.
+func (c *linkCommand) Execute([]string) error {
+	loaded, err := site.Load(c.Site)
 	if err != nil {
 		return err
 	}
-	endpoints := []endpoint{{
-		address: c.Control,
-		handler: fleet,
-	}}
-	for _, server := range fleet.Servers() {
-		endpoints = append(endpoints, endpoint{
-			address: server.Address,
-			handler: server,
-		})
+	server := relay.New(relay.NewTopology(loaded))
+	listener, err := net.Listen("tcp", loaded.Settings.Relay)
+	if err != nil {
+		return errors.Wrap(err, "listen for connections to relay")
 	}
-	return serveAll(c.ctx, endpoints)
+	return serveAll(c.ctx, []endpoint{{
+		address: loaded.Settings.RelayControl,
+		handler: server.Control(),
+	}}, func(ctx context.Context) error { return server.Serve(ctx, listener) })
 }
 
 type loadCommand struct {
+	siteOption
 	ctx      context.Context
-	Intents  string        `long:"intents" required:"true" description:"directory of intents"`
-	Entries  []string      `long:"entry" required:"true" description:"address of an entry's callers listener; may be repeated"`
-	Rate     float64       `long:"rate" default:"100" description:"requests a second"`
-	Duration time.Duration `long:"duration" default:"10s" description:"how long to send"`
+	Rate     float64       `long:"rate" default:"120" description:"requests a second"`
+	Duration time.Duration `long:"duration" default:"12s" description:"how long to send"`
 	Seed     uint64        `long:"seed" default:"1" description:"seed of the mix"`
+	Drain    string        `long:"drain" value-name:"FILE" description:"file that holds, at the end, a drained backend server and when its drain was asked for and had ended"`
 }
 
-// Execute sends the load and prints its table.
+// Execute sends the load and prints its tables.
 func (c *loadCommand) Execute([]string) error {
-	documents, err := publication.Collect(os.DirFS(c.Intents))
+	loaded, err := site.Load(c.Site)
 	if err != nil {
 		return err
 	}
-	load, err := caller.NewLoad(documents, c.Entries, c.Rate, c.Seed)
-	if err != nil {
+	load := caller.New(loaded, caller.WithRate(c.Rate), caller.WithSeed(c.Seed))
+	report := &caller.Report{
+		Results: load.Run(c.ctx, c.Duration),
+	}
+	if err := fetch("http://"+loaded.Settings.BackendsControl+"/report", &report.Backends); err != nil {
 		return err
 	}
-	report := load.Run(c.ctx, c.Duration)
-	fmt.Print(report)
-	return report.Err()
+	if err := fetch("http://"+loaded.Settings.RelayControl+"/links", &report.Links); err != nil {
+		return err
+	}
+	if c.Drain != "" {
+		if report.Drain, err = readDrain(c.Drain); err != nil {
+			return err
+		}
+	}
+	checks := append(report.Checks(), report.Answered(), report.Uninterrupted())
+	if !caller.Write(os.Stdout, report, checks) {
+		return errors.New("a promise was broken")
+	}
+	return nil
+}
+
+// fetch reads JSON from a stand-in's control listener.
+func fetch(url string, target any) error {
+	response, err := http.Get(url)
+	if err != nil {
+		return errors.Wrap(err, "fetch report")
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err := json.NewDecoder(response.Body).Decode(target); err != nil {
+		return errors.Wrapf(err, "decode report of %s", url)
+	}
+	return nil
+}
+
+// readDrain reads a line of a backend server's name and two times.
+func readDrain(file string) (*caller.Drain, error) {
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "read drain")
+	}
+	fields := strings.Fields(string(content))
+	if len(fields) != 3 {
+		return nil, errors.Errorf("read drain: %q is no name with two times", content)
+	}
+	drain := &caller.Drain{
+		Server: fields[0],
+	}
+	if drain.Asked, err = time.Parse(time.RFC3339Nano, fields[1]); err != nil {
+		return nil, errors.Wrap(err, "read drain")
+	}
+	if drain.Idle, err = time.Parse(time.RFC3339Nano, fields[2]); err != nil {
+		return nil, errors.Wrap(err, "read drain")
+	}
+	return drain, nil
 }
 
 // endpoint is an address with what serves it.
@@ -94,14 +170,14 @@
 	handler http.Handler
 }
 
-// serveAll serves endpoints until ctx is done.
-func serveAll(ctx context.Context, endpoints []endpoint) error {
+// serveAll serves endpoints, and what else runs beside them, until ctx is done.
+func serveAll(ctx context.Context, endpoints []endpoint, beside func(context.Context) error) error {
 	var group sync.WaitGroup
 	defer group.Wait()
 	for _, each := range endpoints {
 		listener, err := net.Listen("tcp", each.address)
 		if err != nil {
-			return err
+			return errors.Wrap(err, "listen")
 		}
 		server := &http.Server{
 			Handler:           each.handler,
@@ -110,6 +186,9 @@
 		group.Go(func() { _ = server.Serve(listener) })
 		defer func() { _ = server.Close() }()
 	}
+	if beside != nil {
+		return beside(ctx)
+	}
 	<-ctx.Done()
 	return nil
 }
--- a/standin/main.go
+++ b/standin/main.go
@@ -1,5 +1,5 @@
 // Command standin takes the place of what surrounds teaselstack, for tests and
-// the local run: the platform, the backend servers, and callers.
+// the local run: the platform, the backend servers, the network, and callers.
 package main
 
 import (
@@ -32,7 +32,10 @@
 	add(parser, "platform", "serve the platform's table, object store and list of VMs", &platformCommand{
 		ctx: ctx,
 	})
-	add(parser, "backends", "serve all backend servers of a directory of intents", &backendsCommand{
+	add(parser, "backends", "serve all backend servers of a deployment", &backendsCommand{
+		ctx: ctx,
+	})
+	add(parser, "link", "relay connections with the network's delays, rates and cuts", &linkCommand{
 		ctx: ctx,
 	})
 	add(parser, "load", "send a mixed load of callers and print its outcomes", &loadCommand{
--- /dev/null
+++ b/standin/relay/relay_test.go
@@ -0,0 +1,201 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"golang.org/x/net/proxy"
+	"gotest.tools/v3/assert"
+
+	"github.com/teaselstack/teaselstack/standin/site"
+)
+
+const (
+	agentDesk1 = "127.0.0.1:20100" // fi-central-a
+	agentDesk3 = "127.0.0.1:20102" // se-east-a
+	agentDesk7 = "127.0.0.1:20106" // fi-central-a
+	agentDesk8 = "127.0.0.1:20107" // fi-central-b
+)
+
+// fixture is a relay whose targets are pipes to an echo.
+type fixture struct {
+	relay *Server
+	ctx   context.Context
+	group sync.WaitGroup
+}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	loaded, err := site.Load("../../examples/kasikirjoitus")
+	assert.NilError(t, err)
+	f := &fixture{}
+	ctx, cancel := context.WithCancel(context.Background())
+	f.ctx = ctx
+	f.relay = New(NewTopology(loaded), WithDial(func(context.Context, string, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		f.group.Go(func() { _, _ = io.Copy(far, far) })
+		return near, nil
+	}))
+	t.Cleanup(func() {
+		cancel()
+		f.group.Wait()
+	})
+	return f
+}
+
+// dial connects through the relay as an entry or a caller does.
+func (f *fixture) dial(t *testing.T, user, address string) net.Conn {
+	t.Helper()
+	near, far := net.Pipe()
+	f.group.Go(func() { f.relay.ServeConn(f.ctx, far) })
+	dialer, err := proxy.SOCKS5("tcp", "127.0.0.1:1", &proxy.Auth{
+		User: user,
+	}, pipeDialer{
+		conn: near,
+	})
+	assert.NilError(t, err)
+	conn, err := dialer.Dial("tcp", address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+type pipeDialer struct {
+	conn net.Conn
+}
+
+func (d pipeDialer) Dial(string, string) (net.Conn, error) {
+	return d.conn, nil
+}
+
+func exchange(t *testing.T, conn net.Conn) time.Duration {
+	t.Helper()
+	began := time.Now()
+	_, err := conn.Write([]byte("ping"))
+	assert.NilError(t, err)
+	_, err = io.ReadFull(conn, make([]byte, 4))
+	assert.NilError(t, err)
+	return time.Since(began)
+}
+
+func TestDelaysOfTheBrief(t *testing.T) {
+	for name, test := range map[string]struct {
+		user    string
+		address string
+		oneWay  time.Duration
+	}{
+		"same failure domain": {
+			user:    "fi-central-a",
+			address: agentDesk1,
+		},
+		"between failure domains": {
+			user:    "fi-central-a",
+			address: agentDesk8,
+			oneWay:  time.Millisecond,
+		},
+		"between regions": {
+			user:    "fi-central-a",
+			address: agentDesk3,
+			oneWay:  55 * time.Millisecond,
+		},
+		"client": {
+			user:    ClientUser("fi-central"),
+			address: agentDesk1,
+			oneWay:  3 * time.Millisecond,
+		},
+		"client of another region": {
+			user:    ClientUser("fi-central"),
+			address: agentDesk3,
+			oneWay:  58 * time.Millisecond,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t)
+				began := time.Now()
+				conn := f.dial(t, test.user, test.address)
+				assert.Equal(t, time.Since(began), 2*test.oneWay)
+				assert.Equal(t, exchange(t, conn), 2*test.oneWay)
+			})
+		})
+	}
+}
+
+func TestCutHoldsBackUntilHealed(t *testing.T) {
+	for name, cut := range map[string]Cut{
+		"the way there": {
+			From: "fi-central-a",
+			To:   "se-east",
+		},
+		"the way back": {
+			From: "se-east-a",
+			To:   "fi-central",
+		},
+		"all": {
+			From: All,
+			To:   "se-east-a",
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t)
+				conn := f.dial(t, "fi-central-a", agentDesk3)
+				near := f.dial(t, "fi-central-a", agentDesk7)
+				f.relay.SetCut(cut, true)
+				heal := time.AfterFunc(time.Minute, func() { f.relay.SetCut(cut, false) })
+				defer heal.Stop()
+				assert.Equal(t, exchange(t, near), time.Duration(0))
+				assert.Assert(t, exchange(t, conn) >= time.Minute)
+			})
+		})
+	}
+}
+
+func TestLinkKeepsItsRateOverAllConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		const (
+			total          = 512 << 20
+			bytesPerSecond = 500_000_000 // 4 Gbit/s
+		)
+		began := time.Now()
+		var group sync.WaitGroup
+		for range 4 {
+			conn := f.dial(t, "fi-central-a", agentDesk3)
+			group.Go(func() { _, _ = io.CopyN(io.Discard, conn, total/4) })
+			group.Go(func() {
+				part := make([]byte, 1<<20)
+				for range total / 4 / len(part) {
+					_, _ = conn.Write(part)
+				}
+			})
+		}
+		group.Wait()
+		carried := (total - burstBytes) * time.Second / bytesPerSecond
+		assert.Assert(t, time.Since(began) >= carried)
+		for _, load := range f.relay.Loads() {
+			assert.Assert(t, float64(load.PeakBytes) <= load.Rate+burstBytes, "%s to %s", load.From, load.To)
+		}
+	})
+}
+
+func TestUnknownPlacesAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		near, far := net.Pipe()
+		f.group.Go(func() { f.relay.ServeConn(f.ctx, far) })
+		dialer, err := proxy.SOCKS5("tcp", "127.0.0.1:1", &proxy.Auth{
+			User: "nowhere",
+		}, pipeDialer{
+			conn: near,
+		})
+		assert.NilError(t, err)
+		_, err = dialer.Dial("tcp", agentDesk1)
+		assert.ErrorContains(t, err, "not allowed")
+	})
+}
--- /dev/null
+++ b/standin/relay/topology.go
@@ -0,0 +1,111 @@
+package relay
+
+import (
+	"strings"
+	"time"
+
+	"github.com/teaselstack/teaselstack/intent"
+	"github.com/teaselstack/teaselstack/standin/site"
+)
+
+// Place is where an end of a connection stands.
+type Place struct {
+	Region string
+	// FailureDomain is empty for clients.
+	FailureDomain string
+}
+
+// PlatformDomain is the failure domain in which the platform's service stands
+// by itself.
+const PlatformDomain = "platform"
+
+// clientPrefix begins the user name of callers; their region follows.
+const clientPrefix = "client@"
+
+// ClientUser returns the SOCKS user name of callers in a region.
+func ClientUser(region string) string {
+	return clientPrefix + region
+}
+
+// client reports whether the place is that of callers.
+func (p Place) client() bool {
+	return p.FailureDomain == ""
+}
+
+// is reports whether name is the place's failure domain or region.
+func (p Place) is(name string) bool {
+	return name == p.FailureDomain || name == p.Region && p.FailureDomain != PlatformDomain
+}
+
+// Topology knows where each address stands and how far places are apart.
+type Topology struct {
+	configuration *intent.Configuration
+	settings      site.Settings
+	addresses     map[string]Place
+}
+
+// NewTopology returns the topology of a site.
+func NewTopology(loaded *site.Site) *Topology {
+	topology := &Topology{
+		configuration: loaded.Configuration,
+		settings:      loaded.Settings,
+		addresses:     make(map[string]Place),
+	}
+	topology.addresses[loaded.Settings.Platform] = topology.platform()
+	for _, entry := range loaded.Entries {
+		place := topology.domain(entry.FailureDomain)
+		for _, address := range []string{entry.CallersAddress, entry.PeersAddress, entry.OperatorsAddress} {
+			topology.addresses[address] = place
+		}
+	}
+	for _, service := range loaded.Configuration.Services {
+		for _, server := range service.BackendServers {
+			topology.addresses[server.Address] = topology.domain(server.FailureDomain)
+		}
+	}
+	return topology
+}
+
+func (t *Topology) platform() Place {
+	return Place{
+		Region:        t.settings.PlatformRegion,
+		FailureDomain: PlatformDomain,
+	}
+}
+
+func (t *Topology) domain(name string) Place {
+	return Place{
+		Region:        t.configuration.RegionOf(name),
+		FailureDomain: name,
+	}
+}
+
+// Source returns the place of a SOCKS user: a failure domain or a client's
+// region.
+func (t *Topology) Source(user string) (Place, bool) {
+	if region, client := strings.CutPrefix(user, clientPrefix); client {
+		return Place{
+			Region: region,
+		}, true
+	}
+	place := t.domain(user)
+	return place, place.Region != ""
+}
+
+// Target returns the place of an address.
+func (t *Topology) Target(address string) (Place, bool) {
+	place, known := t.addresses[address]
+	return place, known
+}
+
+// Delay returns the one-way delay between two places.
+func (t *Topology) Delay(from, to Place) time.Duration {
+	delay := t.configuration.Delay(from.Region, to.Region)
+	switch {
+	case from.client() || to.client():
+		delay += time.Duration(t.settings.ClientDelay)
+	case from.Region == to.Region && from.FailureDomain != to.FailureDomain:
+		delay = time.Duration(t.settings.FailureDomainDelay)
+	}
+	return delay
+}
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -17,12 +17,46 @@
 
 // Server is the platform's HTTP service.
 type Server struct {
-	Store *memory.Store
+	store  *memory.Store
+	faults *faults
+}
+
+// New returns a platform that serves what store holds.
+func New(store *memory.Store) *Server {
+	return &Server{
+		store:  store,
+		faults: newFaults(),
+	}
 }
 
 // ServeHTTP serves the table under /table/, the object store under /objects/
-// and the list of VMs at /machines.
+// and the list of VMs at /machines, as far as the fault in force lets it.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	write := r.Method != http.MethodGet
+	status, err := s.faults.admit(r.Context(), write)
+	switch {
+	case err != nil:
+		panic(http.ErrAbortHandler)
+	case status != http.StatusOK:
+		http.Error(w, "the platform does not serve now", status)
+		return
+	case write && s.faults.loses():
+		s.serve(discard{}, r)
+		panic(http.ErrAbortHandler)
+	}
+	s.serve(w, r)
+}
+
+// discard is a ResponseWriter whose answer is lost.
+type discard struct{}
+
+func (discard) Header() http.Header { return make(http.Header) }
+
+func (discard) Write(content []byte) (int, error) { return len(content), nil }
+
+func (discard) WriteHeader(int) {}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	path := r.URL.EscapedPath()
 	switch {
 	case path == "/table/transactions" && r.Method == http.MethodPost:
@@ -34,8 +68,7 @@
 	case strings.HasPrefix(path, "/objects/"):
 		s.object(w, r, strings.TrimPrefix(path, "/objects/"))
 	case path == "/machines" && r.Method == http.MethodGet:
-		machines, err := s.Store.List(r.Context())
-		answer(w, machines, err)
+		answer(w, s.faults.machines(), nil)
 	default:
 		http.NotFound(w, r)
 	}
@@ -60,7 +93,7 @@
 			Check:  write.Check,
 		})
 	}
-	revisions, err := s.Store.Commit(r.Context(), writes)
+	revisions, err := s.store.Commit(r.Context(), writes)
 	var conflict *platform.ConflictError
 	if errors.As(err, &conflict) {
 		w.WriteHeader(http.StatusPreconditionFailed)
@@ -76,7 +109,7 @@
 }
 
 func (s *Server) scan(w http.ResponseWriter, r *http.Request) {
-	rows, err := s.Store.Scan(r.Context(), r.URL.Query().Get("prefix"))
+	rows, err := s.store.Scan(r.Context(), r.URL.Query().Get("prefix"))
 	results := make([]platform.RowResult, 0, len(rows))
 	for _, row := range rows {
 		results = append(results, platform.RowResult(row))
@@ -90,7 +123,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	row, err := s.Store.Read(r.Context(), name)
+	row, err := s.store.Read(r.Context(), name)
 	answer(w, platform.RowResult(row), err)
 }
 
@@ -102,7 +135,7 @@
 	}
 	switch r.Method {
 	case http.MethodGet:
-		content, err := s.Store.Get(r.Context(), name)
+		content, err := s.store.Get(r.Context(), name)
 		if err != nil {
 			answer(w, nil, err)
 			return
@@ -111,11 +144,11 @@
 	case http.MethodPut:
 		content, err := io.ReadAll(r.Body)
 		if err == nil {
-			err = s.Store.Put(r.Context(), name, content)
+			err = s.store.Put(r.Context(), name, content)
 		}
 		answer(w, nil, err)
 	case http.MethodDelete:
-		answer(w, nil, s.Store.Delete(r.Context(), name))
+		answer(w, nil, s.store.Delete(r.Context(), name))
 	default:
 		w.WriteHeader(http.StatusMethodNotAllowed)
 	}
