--- a/entry/dispatch/dispatch.go
+++ b/entry/dispatch/dispatch.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -55,6 +54,7 @@
 	stopping atomic.Bool
 	inFlight sync.WaitGroup
 	active   atomic.Int64
+	retries  budget
 }
 
 // answer is what an attempt brought back: a response to copy, or an outcome.
@@ -63,90 +63,95 @@
 	outcome  outcome.Outcome
 	// server is the backend server that was tried, "" when none was.
 	server string
-	// release gives back what the response holds; it is never nil for one.
-	release func()
+	// release gives back what the response holds, told how its copying ended;
+	// it is never nil for a response.
+	release func(end outcome.Outcome)
+}
+
+// refused is the answer of an attempt that did not get a response.
+func refused(out outcome.Outcome) answer {
+	return answer{
+		outcome: out,
+	}
 }
 
 // ServeCaller serves callers' requests.
 func (d *Dispatcher) ServeCaller(w http.ResponseWriter, incoming *http.Request) {
 	header.StripInternal(incoming.Header)
 	if !d.enter() {
-		d.refuse(w, nil, *notRun(outcome.ReasonStopping, "this entry is stopping"))
+		d.refuse(w, nil, refused(outcome.End(phaseBeforeClaim(incoming), outcome.ReasonStopping, "this entry is stopping")))
 		return
 	}
 	defer d.leave()
-	req, bad := d.parse(incoming)
+	req, bad := d.parse(w, incoming)
 	if bad != nil {
-		d.refuse(w, nil, *bad)
+		d.refuse(w, nil, refused(*bad))
 		return
 	}
-	ctx, cancel := d.withDeadline(req)
+	ctx, cancel := req.context()
 	defer cancel()
-	if d.Quarantine.Quarantined(req.Digest) {
-		d.refuse(w, req, *notRun(outcome.ReasonQuarantined, "this request broke several backend servers"))
-		return
-	}
-	if req.Idempotent {
-		d.deliver(w, req, d.route(ctx, req), nil)
+	if ticket, is := key.ParseTicket(req.Key); is && !req.Idempotent && !d.Keys.Issued(ticket) {
+		d.deliver(w, req, d.relayToIssuer(ctx, req, ticket.Entry), nil)
 		return
 	}
-	claim, result := d.Keys.Begin(ctx, req.Service.Name, req.Key, req.Digest)
-	if claim == nil {
-		d.replay(w, req, result)
-		return
-	}
-	d.deliver(w, req, d.route(ctx, req), claim)
+	d.claimAndRoute(ctx, w, req)
 }
 
-// ServePeer serves requests that a peer relays to this entry as the home.
+// What a peer asks this entry to be, in the header InternalServer.
+const (
+	// asHome runs the request on a backend server of this entry; the sender has
+	// claimed its key.
+	asHome = "any"
+	// asIssuer claims the request's ticket, which this entry has issued, and
+	// routes the request like a caller's.
+	asIssuer = "issuer"
+)
+
+// ServePeer serves requests that a peer relays to this entry, as the home of a
+// backend server or as the issuer of a ticket.
 func (d *Dispatcher) ServePeer(w http.ResponseWriter, incoming *http.Request) {
+	role := incoming.Header.Get(header.InternalServer)
+	phase := outcome.Held
+	if role == asIssuer {
+		phase = phaseBeforeClaim(incoming)
+	}
 	if !d.enter() {
-		d.refuse(w, nil, *notRun(outcome.ReasonStopping, "this entry is stopping"))
+		d.refuse(w, nil, refused(outcome.End(phase, outcome.ReasonStopping, "this entry is stopping")))
 		return
 	}
 	defer d.leave()
-	req, bad := d.parseRelayed(incoming)
+	req, bad := d.parseRelayed(w, incoming, phase)
 	if bad != nil {
-		d.refuse(w, nil, *bad)
+		d.refuse(w, nil, refused(*bad))
 		return
 	}
-	ctx, cancel := d.withDeadline(req)
+	ctx, cancel := req.context()
 	defer cancel()
-	d.deliver(w, req, d.serveLocally(ctx, req, nil), nil)
-}
-
-// route tries homes in their order until one gives an answer that ends the
-// request.
-func (d *Dispatcher) route(ctx context.Context, req *Request) answer {
-	last := answer{
-		outcome: *notRun(outcome.ReasonNoBackendServer, "no home of the service can be reached"),
-	}
-	var excluded []string
-	for _, ranked := range d.Places(req.Service, req.Region) {
-		if !ranked.Allowed {
-			continue
-		}
-		if ranked.Place.Home == d.Entry {
-			last = d.serveLocally(ctx, req, excluded)
-		} else {
-			last = d.relay(ctx, req, ranked.Place)
-		}
-		if last.response != nil || !d.mayRetry(ctx, req, last.outcome) {
-			return last
-		}
-		if last.server != "" {
-			excluded = append(excluded, last.server)
-		}
+	if role == asIssuer {
+		d.claimAndRoute(ctx, w, req)
+		return
 	}
-	return last
+	d.deliver(w, req, d.serveLocally(ctx, req, excludedServers(incoming)), nil)
 }
 
-// mayRetry reports whether a request without an answer may be tried elsewhere.
-func (d *Dispatcher) mayRetry(ctx context.Context, req *Request, out outcome.Outcome) bool {
-	if ctx.Err() != nil || !req.replayable() && out.Reason != outcome.ReasonNoRoom && out.Reason != outcome.ReasonNoBackendServer {
-		return false
+// claimAndRoute runs a request, under a claim of its key unless it is
+// idempotent.
+func (d *Dispatcher) claimAndRoute(ctx context.Context, w http.ResponseWriter, req *Request) {
+	if req.Idempotent {
+		d.deliver(w, req, d.route(ctx, req), nil)
+		return
 	}
-	return out.Kind == outcome.NotRun || req.Idempotent
+	claim, result := d.Keys.Begin(ctx, key.Use{
+		Service: req.Service.Name,
+		Key:     req.Key,
+		Digest:  key.Digest(req.Digest),
+		First:   isFirst(req.incoming),
+	})
+	if claim == nil {
+		d.replay(w, req, result)
+		return
+	}
+	d.deliver(w, req, d.route(ctx, req), claim)
 }
 
 // enter counts a request in, unless the entry is stopping.
@@ -186,133 +191,3 @@
 		return ctx.Err()
 	}
 }
-
-// deliver copies an answer to the caller and records how the request ended.
-func (d *Dispatcher) deliver(w http.ResponseWriter, req *Request, ans answer, claim *key.Claim) {
-	if ans.response == nil {
-		d.finish(req, ans, claim, nil)
-		d.refuse(w, req, ans.outcome)
-		return
-	}
-	defer ans.release()
-	response := ans.response
-	header.StripHopByHop(response.Header)
-	header.StripInternal(response.Header)
-	memory := &capture{}
-	copyHeader(w.Header(), response.Header)
-	w.Header().Set(header.Outcome, outcome.Done.String())
-	w.WriteHeader(response.StatusCode)
-	err := copyBody(w, response, memory)
-	if err != nil {
-		ans.outcome = outcome.Outcome{
-			Kind:   outcome.Unknown,
-			Reason: outcome.ReasonShortAnswer,
-			Detail: err.Error(),
-		}
-		d.finish(req, ans, claim, nil)
-		panic(http.ErrAbortHandler)
-	}
-	d.finish(req, ans, claim, memory)
-}
-
-func copyHeader(to, from http.Header) {
-	for name, values := range from {
-		to[name] = values
-	}
-}
-
-// copyBody copies an answer as it arrives.
-func copyBody(w http.ResponseWriter, response *http.Response, memory *capture) error {
-	controller := http.NewResponseController(w)
-	buffer := make([]byte, 32<<10)
-	for {
-		count, err := response.Body.Read(buffer)
-		if count > 0 {
-			memory.write(buffer[:count])
-			if _, writeErr := w.Write(buffer[:count]); writeErr != nil {
-				return writeErr
-			}
-			if response.ContentLength < 0 {
-				_ = controller.Flush()
-			}
-		}
-		if err == io.EOF {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
-// capture keeps an answer for repeats, up to a bound.
-type capture struct {
-	content  []byte
-	overflow bool
-}
-
-// maxRemembered is the longest answer that is kept for repeats, in bytes.
-const maxRemembered = 16 << 10
-
-func (c *capture) write(part []byte) {
-	if c.overflow || len(c.content)+len(part) > maxRemembered {
-		c.overflow = true
-		c.content = nil
-		return
-	}
-	c.content = append(c.content, part...)
-}
-
-// finish records how a request ended, for repeats and on the time line.
-func (d *Dispatcher) finish(req *Request, ans answer, claim *key.Claim, memory *capture) {
-	metrics.GetOrRegisterCounter("requests."+ans.outcome.Kind.String(), d.Metrics).Inc(1)
-	if claim != nil {
-		result := key.Result{
-			Outcome: ans.outcome,
-		}
-		if ans.response != nil && memory != nil {
-			result.Status = ans.response.StatusCode
-			result.Header = ans.response.Header.Clone()
-			result.Body = memory.content
-		}
-		claim.Finish(result)
-	}
-	if ans.outcome.Kind != outcome.Done {
-		d.Events.Record(timeline.Event{
-			Kind:    "request-" + ans.outcome.Kind.String(),
-			Service: req.Service.Name,
-			Server:  ans.server,
-			Key:     req.Key,
-			Detail:  string(ans.outcome.Reason) + " " + ans.outcome.Detail,
-		})
-	}
-}
-
-// refuse answers a request that has no answer of a backend server.
-func (d *Dispatcher) refuse(w http.ResponseWriter, req *Request, out outcome.Outcome) {
-	if req == nil {
-		metrics.GetOrRegisterCounter("requests."+out.Kind.String(), d.Metrics).Inc(1)
-	}
-	w.Header().Set(header.Outcome, out.Kind.String())
-	w.Header().Set(header.Reason, string(out.Reason))
-	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	w.WriteHeader(out.HTTPStatus())
-	_, _ = io.WriteString(w, out.Kind.String()+": "+string(out.Reason)+": "+out.Detail+"\n")
-}
-
-// replay tells a repeat what became of the first request with its key.
-func (d *Dispatcher) replay(w http.ResponseWriter, req *Request, result *key.Result) {
-	w.Header().Set(header.Replayed, "true")
-	if result.Outcome.Kind != outcome.Done {
-		d.refuse(w, req, result.Outcome)
-		return
-	}
-	copyHeader(w.Header(), result.Header)
-	w.Header().Set(header.Outcome, outcome.Done.String())
-	if result.Body == nil && result.Status != http.StatusNoContent {
-		w.Header().Set(header.Reason, "answer-not-remembered")
-		w.Header().Del("Content-Length")
-	}
-	w.WriteHeader(result.Status)
-	_, _ = w.Write(result.Body)
-}
--- a/entry/dispatch/forward.go
+++ b/entry/dispatch/forward.go
@@ -3,109 +3,192 @@
 import (
 	"context"
 	"fmt"
-	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
-	"net/netip"
 	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 
+	"github.com/teaselstack/teaselstack/entry/quarantine"
 	"github.com/teaselstack/teaselstack/entry/slot"
-	"github.com/teaselstack/teaselstack/entry/steering"
 	"github.com/teaselstack/teaselstack/header"
 	"github.com/teaselstack/teaselstack/intent"
 	"github.com/teaselstack/teaselstack/outcome"
 )
 
-// maxHops is the most entries that a request passes.
-const maxHops = 2
+const (
+	// settleTime is how long after a request's deadline its backend server is
+	// surely done with it: the server counts the deadline from the arrival.
+	settleTime = time.Second
+	// cancelTime is how long a backend server takes to give up a request whose
+	// connection was closed.
+	cancelTime = 2 * time.Second
+)
 
 // serveLocally takes a request to a backend server whose home is this entry.
 func (d *Dispatcher) serveLocally(ctx context.Context, req *Request, excluded []string) answer {
-	grant, err := d.Slots.Acquire(ctx, slot.Ask{
-		Service:    req.Service.Name,
-		Priority:   req.Priority,
-		Caller:     req.Caller,
-		FromRegion: req.Region,
-		Exclude:    excluded,
-	})
-	switch {
-	case errors.Is(err, slot.ErrNoServer):
-		return answer{
-			outcome: *notRun(outcome.ReasonNoBackendServer, "this entry is home of no usable backend server"),
-		}
-	case err != nil:
-		return answer{
-			outcome: *notRun(outcome.ReasonNoRoom, err.Error()),
-		}
+	grant, leave, out := d.acquire(ctx, req, excluded)
+	if grant == nil {
+		return refused(out)
+	}
+	free := func(end outcome.Outcome) {
+		leave()
+		d.freeSlot(grant, req, end)
+	}
+	if err := req.awaitBody(); err != nil {
+		out := outcome.Failed(outcome.Held, outcome.ReasonBodyBroken, err)
+		free(out)
+		return refused(out)
+	}
+	if req.overdue() {
+		out := outcome.Failed(outcome.Held, outcome.ReasonDeadline, context.DeadlineExceeded)
+		free(out)
+		return refused(out)
 	}
 	ans := d.forward(ctx, req, grant.Server)
 	if ans.response == nil {
-		grant.Release()
+		free(ans.outcome)
 		return ans
 	}
 	closeBody := ans.release
-	ans.release = func() {
-		closeBody()
-		grant.Release()
+	ans.release = func(end outcome.Outcome) {
+		closeBody(end)
+		free(end)
 	}
 	return ans
 }
 
+// acquire takes a slot. A suspect gets none on a backend server that runs
+// another suspect.
+func (d *Dispatcher) acquire(ctx context.Context, req *Request, excluded []string) (*slot.Grant, func(), outcome.Outcome) {
+	for range maxAttempts {
+		grant, err := d.Slots.Acquire(ctx, slot.Ask{
+			Service:    req.Service.Name,
+			Priority:   req.Priority,
+			Caller:     req.Caller,
+			FromRegion: req.Region,
+			Exclude:    excluded,
+		})
+		switch {
+		case errors.Is(err, slot.ErrNoServer):
+			return nil, nil, outcome.End(outcome.Held, outcome.ReasonNoBackendServer, "this entry is home of no usable backend server")
+		case err != nil:
+			return nil, nil, outcome.End(outcome.Held, outcome.ReasonNoRoom, err.Error())
+		}
+		leave, allowed := d.Quarantine.Enter(quarantine.Digest(req.Digest), grant.Server.Name)
+		if allowed {
+			return grant, leave, outcome.Outcome{}
+		}
+		excluded = append(excluded, grant.Server.Name)
+		grant.Release()
+	}
+	return nil, nil, outcome.End(outcome.Held, outcome.ReasonNoRoom, "other suspect requests run on the backend servers")
+}
+
+// freeSlot gives a slot back once its backend server is surely done with the
+// request: at once if the server ended it, refused it or closed the connection
+// itself, and otherwise when it has given it up.
+func (d *Dispatcher) freeSlot(grant *slot.Grant, req *Request, end outcome.Outcome) {
+	held := time.Until(req.arrived.Add(req.timeout + settleTime))
+	switch {
+	case end.Kind != outcome.Unknown, end.Reason == outcome.ReasonBroken, end.Reason == outcome.ReasonShortAnswer:
+		held = 0
+	case end.Reason == outcome.ReasonCanceled, end.Reason == outcome.ReasonBodyBroken:
+		held = min(held, cancelTime)
+	}
+	if held <= 0 {
+		grant.Release()
+		return
+	}
+	time.AfterFunc(held, grant.Release)
+}
+
 // forward sends a request to a backend server.
 func (d *Dispatcher) forward(ctx context.Context, req *Request, server *intent.BackendServer) answer {
-	phase := &phaseTrace{}
-	out := d.outgoing(phase.trace(ctx), req, server.Address)
+	trace := &connectionTrace{}
+	out := d.outgoing(trace.watch(ctx), req, server.Address)
 	header.StripInternal(out.Header)
 	out.Header.Set(header.RequestID, req.ID)
-	if deadline, ok := ctx.Deadline(); ok {
-		out.Header.Set(header.TimeoutMS, strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
-	}
-	if req.hasBody() || !req.Idempotent {
-		// A body without GetBody keeps net/http from sending the request again
-		// on its own, which it does for any that has an idempotency key.
-		out.Body = io.NopCloser(req.body())
-		out.ContentLength = req.incoming.ContentLength
-	}
+	out.Header.Set(header.TimeoutMS, remaining(ctx))
+	body := req.open()
+	out.Body = body
+	out.ContentLength = req.incoming.ContentLength
 	response, err := d.Backends.RoundTrip(out)
 	if err != nil {
-		return d.failed(req, server, outcome.Failed(phase.phase(), err))
+		_, failure := req.closeAttempt(body)
+		return d.failed(ctx, req, server, trace.phase(), err, failure)
 	}
-	if response.Header.Get(header.Shed) != "" {
+	if bad := check(req, server, response); bad != nil {
+		req.closeAttempt(body)
 		_ = response.Body.Close()
+		trace.close()
 		return answer{
-			outcome: outcome.Failed(outcome.Shed, nil),
+			outcome: *bad,
 			server:  server.Name,
 		}
 	}
-	if echoed := response.Header.Get(header.RequestID); echoed != "" && echoed != req.ID {
-		_ = response.Body.Close()
-		return answer{
-			outcome: outcome.Outcome{
-				Kind:   outcome.Unknown,
-				Reason: outcome.ReasonCrossedAnswer,
-				Detail: fmt.Sprintf("server %s answered request %s", server.Name, echoed),
-			},
-			server: server.Name,
-		}
-	}
 	return answer{
 		response: response,
-		outcome: outcome.Outcome{
-			Kind: outcome.Done,
+		outcome:  outcome.End(outcome.Answered, "", ""),
+		server:   server.Name,
+		release: func(end outcome.Outcome) {
+			req.closeAttempt(body)
+			_ = response.Body.Close()
+			if end.Kind != outcome.Done {
+				trace.close()
+			}
 		},
-		server:  server.Name,
-		release: func() { _ = response.Body.Close() },
 	}
 }
 
-// failed ends an attempt whose connection broke.
-func (d *Dispatcher) failed(req *Request, server *intent.BackendServer, out outcome.Outcome) answer {
-	if out.Kind == outcome.Unknown && out.Reason == outcome.ReasonBroken {
-		d.Quarantine.Broke(req.Digest, server.Name)
+// remaining returns the time to the deadline for the header TimeoutMS.
+func remaining(ctx context.Context) string {
+	deadline, _ := ctx.Deadline()
+	return strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10)
+}
+
+// check looks for an answer that is none, is another request's, or whose end
+// could not be told from a break. It returns nil for a good one.
+func check(req *Request, server *intent.BackendServer, response *http.Response) *outcome.Outcome {
+	echoed := response.Header.Get(header.RequestID)
+	switch {
+	case echoed != "" && echoed != req.ID:
+		return end(outcome.Dispatched, outcome.ReasonCrossedAnswer, fmt.Sprintf("server %s answered request %s", server.Name, echoed))
+	case response.Header.Get(header.Shed) != "":
+		return end(outcome.Refused, outcome.ReasonShed, "server "+server.Name)
+	case !framed(req, response):
+		return end(outcome.Dispatched, outcome.ReasonUnframed, "server "+server.Name+" answered without length or chunks, or without a final status")
+	}
+	return nil
+}
+
+// framed reports whether the end of an answer can be told from a break of its
+// connection.
+func framed(req *Request, response *http.Response) bool {
+	if response.StatusCode < http.StatusOK {
+		return false
+	}
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || req.incoming.Method == http.MethodHead
+}
+
+// failed ends an attempt that got no answer.
+func (d *Dispatcher) failed(ctx context.Context, req *Request, server *intent.BackendServer, phase outcome.Phase, err, bodyFailure error) answer {
+	reason := outcome.ReasonBroken
+	switch {
+	case phase == outcome.Held:
+		reason = outcome.ReasonConnect
+	case bodyFailure != nil:
+		reason = outcome.ReasonBodyBroken
+	}
+	if ctx.Err() != nil {
+		err = ctx.Err()
+	}
+	out := outcome.Failed(phase, reason, err)
+	if out.Reason == outcome.ReasonBroken {
+		d.broke(req, server.Name)
 	}
 	return answer{
 		outcome: out,
@@ -113,6 +196,11 @@
 	}
 }
 
+// broke makes a request a suspect.
+func (d *Dispatcher) broke(req *Request, server string) {
+	d.Quarantine.Broke(quarantine.Digest(req.Digest), req.Service.Name, server)
+}
+
 // outgoing copies a request for the next hop, without a body yet.
 func (d *Dispatcher) outgoing(ctx context.Context, req *Request, address string) *http.Request {
 	incoming := req.incoming
@@ -130,114 +218,30 @@
 	return out.WithContext(ctx)
 }
 
-// relay sends a request to its home, which takes a slot before it asks for the
-// body.
-func (d *Dispatcher) relay(ctx context.Context, req *Request, place steering.Place) answer {
-	address := d.PeerAddress(place.Home)
-	if address == "" || req.Hops >= maxHops {
-		return answer{
-			outcome: *notRun(outcome.ReasonPeerLost, "no way to entry "+place.Home),
-		}
-	}
-	phase := &phaseTrace{}
-	out := d.outgoing(phase.trace(ctx), req, address)
-	out.Header.Set(header.RequestID, req.ID)
-	out.Header.Set(header.InternalKey, d.PeerKey)
-	out.Header.Set(header.InternalServer, "any")
-	out.Header.Set(header.InternalHops, strconv.Itoa(req.Hops+1))
-	out.Header.Set(header.InternalRegion, req.Region)
-	out.Header.Set(header.InternalCaller, req.Caller)
-	out.Header.Set(header.InternalClaimed, req.Digest)
-	out.Header.Set(header.Service, req.Service.Name)
-	if deadline, ok := ctx.Deadline(); ok {
-		out.Header.Set(header.TimeoutMS, strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
-	}
-	if req.hasBody() {
-		out.Header.Set("Expect", "100-continue")
-		out.Body = io.NopCloser(d.Links.Pace(ctx, place.Region, req.Service.Class, req.body()))
-		out.ContentLength = req.incoming.ContentLength
-	} else if !req.Idempotent {
-		out.Body = io.NopCloser(req.body())
-	}
-	response, err := d.Peers.RoundTrip(out)
-	if err != nil {
-		return answer{
-			outcome: outcome.Failed(phase.phase(), err),
-		}
-	}
-	kind := outcome.Parse(response.Header.Get(header.Outcome))
-	if kind != outcome.Done {
-		_ = response.Body.Close()
-		return answer{
-			outcome: outcome.Outcome{
-				Kind:   kind,
-				Reason: outcome.Reason(response.Header.Get(header.Reason)),
-				Status: response.StatusCode,
-				Detail: "from entry " + place.Home,
-			},
-		}
-	}
-	return answer{
-		response: response,
-		outcome: outcome.Outcome{
-			Kind: outcome.Done,
-		},
-		release: func() { _ = response.Body.Close() },
-	}
+// connectionTrace watches which connection a request goes to.
+type connectionTrace struct {
+	connection atomic.Pointer[net.Conn]
 }
 
-// parseRelayed reads a request that a peer relays. The peer has checked it and
-// has claimed its key.
-func (d *Dispatcher) parseRelayed(incoming *http.Request) (*Request, *outcome.Outcome) {
-	configuration := d.Configuration()
-	if configuration == nil {
-		return nil, notRun(outcome.ReasonNoConfiguration, "this entry has no configuration yet")
-	}
-	name := incoming.Header.Get(header.Service)
-	service := configuration.Service(name)
-	if service == nil {
-		return nil, notRun(outcome.ReasonUnknownService, "no service "+strconv.Quote(name))
-	}
-	hops, err := strconv.Atoi(incoming.Header.Get(header.InternalHops))
-	if err != nil || hops > maxHops {
-		return nil, notRun(outcome.ReasonBadRequest, "too many entries on the way")
-	}
-	caller, err := netip.ParseAddr(incoming.Header.Get(header.InternalCaller))
-	if err != nil {
-		return nil, notRun(outcome.ReasonBadRequest, "the caller's address is missing")
-	}
-	req := &Request{
-		ID:         incoming.Header.Get(header.RequestID),
-		Service:    service,
-		Idempotent: isIdempotent(incoming.Method),
-		Key:        incoming.Header.Get(header.IdempotencyKey),
-		Digest:     incoming.Header.Get(header.InternalClaimed),
-		Caller:     caller.String(),
-		Region:     incoming.Header.Get(header.InternalRegion),
-		Hops:       hops,
-		incoming:   incoming,
-	}
-	if incoming.ContentLength != 0 {
-		req.rest = incoming.Body
-	}
-	req.Priority = priority(req)
-	return req, nil
-}
-
-// phaseTrace watches how far a request comes on its connection.
-type phaseTrace struct {
-	connected atomic.Bool
-}
-
-func (p *phaseTrace) trace(ctx context.Context) context.Context {
+func (c *connectionTrace) watch(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { p.connected.Store(true) },
+		GotConn: func(got httptrace.GotConnInfo) { c.connection.Store(&got.Conn) },
 	})
 }
 
-func (p *phaseTrace) phase() outcome.Phase {
-	if p.connected.Load() {
-		return outcome.Dispatched
+// phase is held while the request had no connection, which it needs before its
+// first byte leaves.
+func (c *connectionTrace) phase() outcome.Phase {
+	if c.connection.Load() == nil {
+		return outcome.Held
+	}
+	return outcome.Dispatched
+}
+
+// close closes the connection, so that no later request gets what still comes
+// on it.
+func (c *connectionTrace) close() {
+	if connection := c.connection.Load(); connection != nil {
+		_ = (*connection).Close()
 	}
-	return outcome.Held
 }
--- a/entry/dispatch/request.go
+++ b/entry/dispatch/request.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"crypto/rand"
-	"encoding/hex"
 	"io"
 	"net"
 	"net/http"
@@ -13,14 +12,17 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/teaselstack/teaselstack/entry/key"
 	"github.com/teaselstack/teaselstack/entry/slot"
 	"github.com/teaselstack/teaselstack/header"
 	"github.com/teaselstack/teaselstack/intent"
 	"github.com/teaselstack/teaselstack/outcome"
 )
 
+// Digest identifies what a request asks for: service, method, path, query,
+// length and start of body. The idempotency key is no part of it.
+type Digest [16]byte
+
 // Request is one caller's request on its way to a backend server.
 type Request struct {
 	ID         string
@@ -29,7 +31,7 @@
 	Idempotent bool
 	Key        string
 	// Digest identifies the request for repeats and quarantine.
-	Digest string
+	Digest Digest
 	// Caller is the caller's address without port.
 	Caller string
 	// Region is that of the entry that admitted the request.
@@ -38,10 +40,14 @@
 	Hops int
 
 	incoming *http.Request
+	arrived  time.Time
+	timeout  time.Duration
 	// start is the beginning of the body, kept for the digest and for retries.
 	start []byte
 	// rest is what follows start; nil when start is the whole body.
 	rest io.Reader
+	// consumed is set once part of rest was read.
+	consumed bool
 }
 
 const (
@@ -51,16 +57,33 @@
 	maxKeyLength = 256
 )
 
+// isFirst reports whether the caller says that it sends a key for the first time.
+func isFirst(incoming *http.Request) bool {
+	return incoming.Header.Get(header.FirstSend) == "true"
+}
+
+// phaseBeforeClaim is what is known of a request whose key's claim was not
+// looked at: under a key that was sent before, it may have run.
+func phaseBeforeClaim(incoming *http.Request) outcome.Phase {
+	if isIdempotent(incoming.Method) || incoming.Header.Get(header.IdempotencyKey) == "" {
+		return outcome.Held
+	}
+	return key.Use{
+		First: isFirst(incoming),
+	}.Phase()
+}
+
 // parse reads a caller's request. The outcome is nil for a good one.
-func (d *Dispatcher) parse(incoming *http.Request) (*Request, *outcome.Outcome) {
+func (d *Dispatcher) parse(w http.ResponseWriter, incoming *http.Request) (*Request, *outcome.Outcome) {
+	phase := phaseBeforeClaim(incoming)
 	configuration := d.Configuration()
 	if configuration == nil {
-		return nil, notRun(outcome.ReasonNoConfiguration, "this entry has no configuration yet")
+		return nil, end(phase, outcome.ReasonNoConfiguration, "this entry has no configuration yet")
 	}
 	name := serviceName(incoming)
 	service := configuration.Service(name)
 	if service == nil {
-		return nil, notRun(outcome.ReasonUnknownService, "no service "+strconv.Quote(name))
+		return nil, end(phase, outcome.ReasonUnknownService, "no service "+strconv.Quote(name))
 	}
 	req := &Request{
 		ID:         rand.Text(),
@@ -73,24 +96,24 @@
 	}
 	req.Priority = priority(req)
 	if len(req.Key) > maxKeyLength {
-		return nil, notRun(outcome.ReasonBadRequest, "the idempotency key is longer than 256 bytes")
+		return nil, end(outcome.Held, outcome.ReasonBadRequest, "the idempotency key is longer than 256 bytes")
 	}
 	if !req.Idempotent && req.Key == "" {
-		return nil, notRun(outcome.ReasonKeyMissing,
+		return nil, end(outcome.Held, outcome.ReasonKeyMissing,
 			incoming.Method+" needs an "+header.IdempotencyKey+" header: a key of the caller's, or a ticket of a look-up")
 	}
+	d.setTimeout(w, req)
 	if err := req.readStart(); err != nil {
-		return nil, notRun(outcome.ReasonBadRequest, "read body: "+err.Error())
+		out := outcome.Failed(phase, outcome.ReasonBodyBroken, err)
+		return nil, &out
 	}
+	req.setDigest()
 	return req, nil
 }
 
-func notRun(reason outcome.Reason, detail string) *outcome.Outcome {
-	return &outcome.Outcome{
-		Kind:   outcome.NotRun,
-		Reason: reason,
-		Detail: detail,
-	}
+func end(phase outcome.Phase, reason outcome.Reason, detail string) *outcome.Outcome {
+	out := outcome.End(phase, reason, detail)
+	return &out
 }
 
 // serviceName takes the service from its header, or from the first label of
@@ -135,26 +158,62 @@
 	return address.Addr().Unmap().String()
 }
 
-// readStart reads the beginning of the body and computes the digest.
+// readStart reads the beginning of the body.
 func (r *Request) readStart() error {
-	if r.incoming.Body != nil && r.incoming.Body != http.NoBody {
-		start := make([]byte, startBytes)
-		count, err := io.ReadFull(r.incoming.Body, start)
-		r.start = start[:count]
-		if err == nil {
-			r.rest = r.incoming.Body
-		} else if err != io.EOF && err != io.ErrUnexpectedEOF {
-			return err
+	if r.incoming.Body == nil || r.incoming.Body == http.NoBody {
+		return nil
+	}
+	start := make([]byte, startBytes)
+	count, err := io.ReadFull(r.incoming.Body, start)
+	r.start = start[:count]
+	switch err {
+	case nil:
+		r.rest = r.incoming.Body
+		return nil
+	case io.EOF, io.ErrUnexpectedEOF:
+		if r.incoming.ContentLength > int64(count) {
+			return io.ErrUnexpectedEOF
 		}
+		return nil
 	}
-	hash := xxhash.New()
-	for _, part := range []string{r.Service.Name, r.incoming.Method, r.incoming.URL.RequestURI(), r.Key} {
-		_, _ = hash.WriteString(part + "\x00")
+	return err
+}
+
+// setDigest computes the digest from the start of the body.
+func (r *Request) setDigest() {
+	var content bytes.Buffer
+	for _, part := range []string{r.Service.Name, r.incoming.Method, r.incoming.URL.RequestURI()} {
+		content.WriteString(strconv.Quote(part))
+	}
+	content.WriteString(strconv.FormatInt(r.incoming.ContentLength, 10) + " ")
+	content.Write(r.start)
+	r.Digest = Digest(key.NewDigest(content.Bytes()))
+}
+
+// awaitBody waits for the first part of a relayed body. A home dispatches no
+// request with a body before that, so that a sender whose body was never read
+// knows that its request did not run.
+func (r *Request) awaitBody() error {
+	if r.rest == nil || len(r.start) > 0 {
+		return nil
+	}
+	start := make([]byte, startBytes)
+	for {
+		count, err := r.rest.Read(start)
+		switch {
+		case count > 0:
+			r.start = start[:count]
+			if err == io.EOF {
+				r.rest = nil
+			}
+			return nil
+		case err == io.EOF:
+			r.rest = nil
+			return nil
+		case err != nil:
+			return err
+		}
 	}
-	_, _ = hash.Write(r.start)
-	_, _ = hash.WriteString(strconv.FormatInt(r.incoming.ContentLength, 10))
-	r.Digest = hex.EncodeToString(hash.Sum(nil))
-	return nil
 }
 
 // hasBody reports whether the request carries a body.
@@ -162,31 +221,66 @@
 	return len(r.start) > 0 || r.rest != nil
 }
 
-// replayable reports whether the body can be sent again.
-func (r *Request) replayable() bool {
-	return r.rest == nil
+// resendable reports whether the whole body is still there to be sent.
+func (r *Request) resendable() bool {
+	return r.rest == nil || !r.consumed
 }
 
-// body returns the whole body from its first byte. It may be called again only
-// while the request is replayable or nothing was read of the earlier body.
-func (r *Request) body() io.Reader {
-	if r.rest == nil {
-		return bytes.NewReader(r.start)
+// open returns the body for one attempt. The request must be resendable, and
+// closeAttempt must follow.
+func (r *Request) open() *attemptBody {
+	source := io.Reader(bytes.NewReader(r.start))
+	if r.rest != nil {
+		source = io.MultiReader(source, r.rest)
+	}
+	return &attemptBody{
+		source: source,
 	}
-	return io.MultiReader(bytes.NewReader(r.start), r.rest)
 }
 
-// withDeadline bounds a request by what its caller waits for, the service's
-// deadline and the entry's own limit.
-func (d *Dispatcher) withDeadline(req *Request) (context.Context, context.CancelFunc) {
-	timeout := time.Duration(req.Service.Deadline)
+// closeAttempt ends an attempt's reading and notes whether the body is whole.
+func (r *Request) closeAttempt(body *attemptBody) (touched bool, failure error) {
+	touched, failure = body.detach()
+	if touched && r.rest != nil {
+		r.consumed = true
+	}
+	return touched, failure
+}
+
+// setTimeout bounds a request by what its caller waits for, the service's
+// deadline and the entry's own limit, reading and writing included.
+func (d *Dispatcher) setTimeout(w http.ResponseWriter, req *Request) {
+	req.arrived = time.Now()
+	req.timeout = time.Duration(req.Service.Deadline)
 	if text := req.incoming.Header.Get(header.TimeoutMS); text != "" {
-		if value, err := strconv.ParseInt(text, 10, 64); err == nil && value > 0 {
-			timeout = time.Duration(value) * time.Millisecond
+		if value, err := strconv.ParseInt(text, 10, 32); err == nil && value > 0 {
+			req.timeout = time.Duration(value) * time.Millisecond
 		}
 	}
 	if d.MaxDeadline > 0 {
-		timeout = min(timeout, d.MaxDeadline)
+		req.timeout = min(req.timeout, d.MaxDeadline)
+	}
+	controller := http.NewResponseController(w)
+	deadline := req.arrived.Add(req.timeout)
+	_ = controller.SetReadDeadline(deadline)
+	_ = controller.SetWriteDeadline(deadline.Add(settleTime))
+}
+
+// context bounds the request's work by its deadline. A caller that leaves ends
+// an idempotent request only: what a non-idempotent one did is better known,
+// and told to a repeat.
+func (r *Request) context() (context.Context, context.CancelFunc) {
+	parent := r.incoming.Context()
+	if !r.Idempotent {
+		parent = context.WithoutCancel(parent)
 	}
-	return context.WithTimeout(req.incoming.Context(), timeout)
+	return context.WithDeadline(parent, r.arrived.Add(r.timeout))
+}
+
+// overdue reports whether the deadline has passed, by the monotonic clock or by
+// the wall clock, which also counts the time that a VM was suspended. A
+// process that was paused must not dispatch what it held.
+func (r *Request) overdue() bool {
+	now := time.Now()
+	return now.Sub(r.arrived) >= r.timeout || now.Round(0).Sub(r.arrived.Round(0)) >= r.timeout
 }
--- /dev/null
+++ b/entry/dispatch/route.go
@@ -0,0 +1,122 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/teaselstack/teaselstack/entry/quarantine"
+	"github.com/teaselstack/teaselstack/entry/steering"
+	"github.com/teaselstack/teaselstack/outcome"
+)
+
+const (
+	// maxAttempts bounds how often one request is sent to a home.
+	maxAttempts = 4
+	// retryShare is the part of a service's requests that may be retried after
+	// they reached a backend server, so that retries never multiply an overload.
+	retryShare = 0.1
+	// retryBurst is the most retries at once.
+	retryBurst = 10
+)
+
+// route tries homes in their order until one gives an answer that ends the
+// request. A backend server is tried once at most.
+func (d *Dispatcher) route(ctx context.Context, req *Request) answer {
+	d.retries.earn(req.Service.Name)
+	var places []steering.Place
+	for _, ranked := range d.Places(req.Service, req.Region) {
+		if ranked.Allowed {
+			places = append(places, ranked.Place)
+		}
+	}
+	last := refused(outcome.End(outcome.Held, outcome.ReasonNoBackendServer, "no home of the service can be reached"))
+	var ran *answer
+	var excluded []string
+	for attempt := 0; attempt < maxAttempts && len(places) > 0; attempt++ {
+		if attempt > 0 && !d.mayRetry(ctx, req, last) {
+			break
+		}
+		place := places[0]
+		places = places[1:]
+		last = d.attempt(ctx, req, place, excluded)
+		if last.response != nil {
+			return last
+		}
+		if last.outcome.Kind == outcome.Unknown {
+			unknown := last
+			ran = &unknown
+		}
+		if last.server != "" {
+			excluded = append(excluded, last.server)
+			places = append(places, place)
+		}
+	}
+	if ran != nil {
+		return *ran
+	}
+	return last
+}
+
+// attempt sends a request to one home.
+func (d *Dispatcher) attempt(ctx context.Context, req *Request, place steering.Place, excluded []string) answer {
+	if d.Quarantine.Quarantined(quarantine.Digest(req.Digest)) {
+		return refused(outcome.End(outcome.Held, outcome.ReasonQuarantined, "this request broke several backend servers"))
+	}
+	if place.Home == d.Entry {
+		return d.serveLocally(ctx, req, excluded)
+	}
+	return d.relayToHome(ctx, req, place, excluded)
+}
+
+// mayRetry reports whether a request without an answer may be tried elsewhere:
+// any while it surely has not run and its body is whole; an idempotent one also
+// if it may have run. Those that reached a backend server draw on the budget.
+func (d *Dispatcher) mayRetry(ctx context.Context, req *Request, last answer) bool {
+	switch {
+	case ctx.Err() != nil, !req.resendable(), last.outcome.Reason == outcome.ReasonQuarantined:
+		return false
+	case last.outcome.Kind != outcome.NotRun && !req.Idempotent:
+		return false
+	case last.outcome.Kind == outcome.NotRun && last.server == "":
+		return true
+	}
+	if !d.retries.spend(req.Service.Name) {
+		metrics.GetOrRegisterCounter("retries.over-budget", d.Metrics).Inc(1)
+		return false
+	}
+	metrics.GetOrRegisterCounter("retries", d.Metrics).Inc(1)
+	return true
+}
+
+// budget bounds the retries of each service by a part of its requests.
+type budget struct {
+	mu     sync.Mutex
+	tokens map[string]float64
+}
+
+// earn counts a request.
+func (b *budget) earn(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.tokens == nil {
+		b.tokens = make(map[string]float64)
+	}
+	held, known := b.tokens[service]
+	if !known {
+		held = retryBurst
+	}
+	b.tokens[service] = min(retryBurst, held+retryShare)
+}
+
+// spend takes one retry, and reports whether there was one.
+func (b *budget) spend(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.tokens[service] < 1 {
+		return false
+	}
+	b.tokens[service]--
+	return true
+}
--- a/entry/key/key.go
+++ b/entry/key/key.go
@@ -1,46 +1,166 @@
-// Package key makes a non-idempotent request run at most once: by tickets that
-// only the entry that issued them runs, and by callers' own keys that are
-// claimed in the platform's table before dispatch.
+// Package key makes a non-idempotent request run at most once. There are two
+// kinds of idempotency keys: tickets, which only the incarnation of the entry
+// that issued them runs, from memory alone; and callers' own keys, which an
+// entry claims in the platform's table before it dispatches the request.
+//
+// Nobody ever takes a claim over from a claimant that may have used it, however
+// long the claimant is silent. So a claimant that was paused does no harm when
+// it wakes, and a dead claimant leaves its unfinished keys unknown.
 package key
 
 import (
 	"context"
-	"fmt"
+	"crypto/rand"
+	"crypto/sha256"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
-
-	"github.com/go-faster/errors"
+	"time"
 
+	teaselv1 "github.com/teaselstack/teaselstack/api/teasel/v1"
 	"github.com/teaselstack/teaselstack/outcome"
 	"github.com/teaselstack/teaselstack/platform"
 )
 
+// Lifetimes and bounds of a register.
+const (
+	// TicketLifetime is how long after its issue a ticket may be used first.
+	TicketLifetime = 10 * time.Minute
+	// RowLifetime is how long the claim of a caller's own key stays in the
+	// table. A key that is sent again later counts as a new one.
+	RowLifetime = 24 * time.Hour
+
+	defaultMaxDeadline  = 5 * time.Minute
+	defaultMaxRecords   = 50_000
+	defaultAnswerMemory = 8 << 20
+)
+
+// Digest identifies what a request asks for, its key aside.
+type Digest [16]byte
+
+// NewDigest returns the digest of the parts of a request, which must not
+// depend on each other's borders.
+func NewDigest(content []byte) Digest {
+	sum := sha256.Sum256(content)
+	return Digest(sum[:len(Digest{})])
+}
+
 // Register remembers the keys that this incarnation of the entry has claimed.
 type Register struct {
-	// Entry and Incarnation mark what this process claims.
-	Entry       string
-	Incarnation uint64
-	// Table holds the claims of callers' own keys.
-	Table platform.Table
+	entry       string
+	incarnation uint64
+	table       platform.Table
+	ask         Ask
+	journal     *journal
+	// retention is how long the record of an ended request is kept.
+	retention  time.Duration
+	maxRecords int
+	secret     []byte
+	started    time.Time
+
+	mu      sync.Mutex
+	number  uint64
+	keys    map[name]*Claim
+	ended   queue[*Claim]
+	answers answerCache
+	// released holds the numbers of claims that were given up unused.
+	released    map[uint64]struct{}
+	releasedAge queue[uint64]
+}
+
+// name identifies a key of a service.
+type name [16]byte
 
-	issued atomic.Uint64
+func newName(service, key string) name {
+	return name(NewDigest([]byte(service + "\x00" + key)))
+}
+
+// Ask asks an entry what became of a claim. An error means that it could not
+// be asked.
+type Ask func(ctx context.Context, entry string, request *teaselv1.KeyRequest) (*teaselv1.KeyResponse, error)
+
+// Option sets up a Register.
+type Option func(*Register)
+
+// WithAsk lets the register ask other claimants.
+func WithAsk(ask Ask) Option {
+	return func(r *Register) { r.ask = ask }
+}
 
-	mu   sync.Mutex
-	keys map[string]*record
+// WithMaxDeadline names the longest deadline of a request.
+func WithMaxDeadline(longest time.Duration) Option {
+	return func(r *Register) { r.retention = TicketLifetime + longest }
 }
 
-type record struct {
-	digest string
-	claim  *Claim
+// WithMaxRecords bounds how many keys are remembered. While that many are, new
+// keys are refused.
+func WithMaxRecords(most int) Option {
+	return func(r *Register) { r.maxRecords = most }
+}
+
+// WithAnswerMemory bounds the bytes of remembered answers. The oldest answers
+// are dropped first; that their keys ran is not forgotten with them.
+func WithAnswerMemory(most int) Option {
+	return func(r *Register) { r.answers.most = most }
+}
+
+// WithCommitRate bounds the transactions a second that the register commits.
+func WithCommitRate(rate float64) Option {
+	return func(r *Register) { r.journal.setRate(rate) }
+}
+
+// WithBatch bounds the writes of one transaction; 1 turns group commit off.
+func WithBatch(most int) Option {
+	return func(r *Register) { r.journal.maxBatch = most }
+}
+
+// New returns the register of one incarnation of an entry. Run must be called
+// for callers' own keys to be claimed.
+func New(entry string, incarnation uint64, table platform.Table, options ...Option) *Register {
+	register := &Register{
+		entry:       entry,
+		incarnation: incarnation,
+		table:       table,
+		journal:     newJournal(table.Commit),
+		retention:   TicketLifetime + defaultMaxDeadline,
+		maxRecords:  defaultMaxRecords,
+		secret:      []byte(rand.Text()),
+		started:     time.Now(),
+		keys:        make(map[name]*Claim),
+		released:    make(map[uint64]struct{}),
+		answers: answerCache{
+			most: defaultAnswerMemory,
+		},
+	}
+	for _, option := range options {
+		option(register)
+	}
+	return register
+}
+
+// Incarnation returns the number that marks this process's claims.
+func (r *Register) Incarnation() uint64 {
+	return r.incarnation
+}
+
+// Run writes claims to the table and removes old ones until ctx is done.
+func (r *Register) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	group.Go(func() { r.sweep(ctx) })
+	r.journal.run(ctx)
+	group.Wait()
 }
 
 // Claim is the right to run a request once. Finish must be called.
 type Claim struct {
 	register *Register
-	record   string
+	name     name
+	number   uint64
+	digest   Digest
+	// row is "" for a ticket.
+	row      string
+	revision platform.Revision
+	claimed  time.Time
 	done     chan struct{}
 	result   Result
 }
@@ -48,146 +168,184 @@
 // Result is how a claimed request ended.
 type Result struct {
 	Outcome outcome.Outcome
-	// Status, Header and Body are the answer; a body too large to remember is nil.
+	// Status and Answer are the backend server's. Answer is nil when it was too
+	// long to remember, or is remembered no more.
 	Status int
-	Header http.Header
-	Body   []byte
+	Answer *Answer
 }
 
-const ticketPrefix = "ticket:"
-
-// Issue returns a new ticket.
-func (r *Register) Issue() string {
-	return fmt.Sprintf("%s%s:%d:%d", ticketPrefix, r.Entry, r.Incarnation, r.issued.Add(1))
+// Answer is a remembered answer.
+type Answer struct {
+	Header http.Header
+	Body   []byte
 }
 
-// Ticket is the content of a ticket's text.
-type Ticket struct {
-	Entry       string
-	Incarnation uint64
-	Number      uint64
+// Use is a request that is about to run under a key.
+type Use struct {
+	Service string
+	Key     string
+	Digest  Digest
+	// First is the caller's word that it has not sent the key before.
+	First bool
 }
 
-// ParseTicket reads a ticket, and reports whether the key is one.
-func ParseTicket(key string) (Ticket, bool) {
-	text, found := strings.CutPrefix(key, ticketPrefix)
-	if !found {
-		return Ticket{}, false
+// Phase is what is known of a key before its claim is looked at: unless the
+// caller says that it sends it for the first time, it may have run already.
+func (u Use) Phase() outcome.Phase {
+	if u.First {
+		return outcome.Held
 	}
-	parts := strings.Split(text, ":")
-	if len(parts) != 3 {
-		return Ticket{}, false
-	}
-	incarnation, err := strconv.ParseUint(parts[1], 10, 64)
-	if err != nil {
-		return Ticket{}, false
-	}
-	number, err := strconv.ParseUint(parts[2], 10, 64)
-	return Ticket{
-		Entry:       parts[0],
-		Incarnation: incarnation,
-		Number:      number,
-	}, err == nil
+	return outcome.Elsewhere
 }
 
-// Begin claims a key for a request of a digest. It returns either a claim, or
-// the result that the caller is to be told instead of running the request.
-func (r *Register) Begin(ctx context.Context, service, key, digest string) (*Claim, *Result) {
-	name := service + "/" + key
-	if ticket, is := ParseTicket(key); is && !r.mine(ticket) {
-		return nil, refuse(outcome.NotRun, outcome.ReasonKeyElsewhere, "the ticket belongs to entry "+ticket.Entry)
-	}
-	claim, result := r.remember(ctx, name, digest)
-	if claim == nil {
-		return nil, result
+// Begin claims a key. It returns either a claim, or the result that the caller
+// is to be told instead of running the request.
+func (r *Register) Begin(ctx context.Context, use Use) (*Claim, *Result) {
+	ticket, is := ParseTicket(use.Key)
+	switch {
+	case is && !r.Issued(ticket):
+		return nil, refuse(outcome.Elsewhere, outcome.ReasonIssuerGone, "the ticket was issued by another process of entry "+ticket.Entry)
+	case is && !r.genuine(ticket), !is && strings.HasPrefix(use.Key, TicketPrefix):
+		return nil, refuse(outcome.Held, outcome.ReasonKeyForged, "no look-up has given out this ticket")
 	}
-	if _, is := ParseTicket(key); is {
+	claim, known, refusal := r.remember(use, ticket)
+	switch {
+	case refusal != nil:
+		return nil, refusal
+	case known != nil:
+		return nil, known.wait(ctx, use.Digest)
+	case is:
 		return claim, nil
 	}
-	if result := r.claimInTable(ctx, name, digest); result != nil {
-		claim.Finish(*result)
+	claim.row = rowName(use.Service, use.Key)
+	if result := r.claimInTable(ctx, claim, use); result != nil {
+		claim.abandon(*result)
 		return nil, result
 	}
 	return claim, nil
 }
 
-func (r *Register) mine(ticket Ticket) bool {
-	return ticket.Entry == r.Entry && ticket.Incarnation == r.Incarnation && ticket.Number <= r.issued.Load()
-}
-
-func refuse(kind outcome.Kind, reason outcome.Reason, detail string) *Result {
+func refuse(phase outcome.Phase, reason outcome.Reason, detail string) *Result {
 	return &Result{
-		Outcome: outcome.Outcome{
-			Kind:   kind,
-			Reason: reason,
-			Detail: detail,
-		},
+		Outcome: outcome.End(phase, reason, detail),
 	}
 }
 
-// remember enters a key in memory, or waits for the end of the one there.
-func (r *Register) remember(ctx context.Context, name, digest string) (*Claim, *Result) {
+// remember enters a key in memory and returns the new claim, or the one that is
+// there already, or why there can be none. Ticket is nil for a caller's own key.
+func (r *Register) remember(use Use, ticket *Ticket) (fresh, known *Claim, refusal *Result) {
+	id := newName(use.Service, use.Key)
 	r.mu.Lock()
-	known := r.keys[name]
-	if known == nil {
-		claim := &Claim{
-			register: r,
-			record:   name,
-			done:     make(chan struct{}),
-		}
-		if r.keys == nil {
-			r.keys = make(map[string]*record)
-		}
-		r.keys[name] = &record{
-			digest: digest,
-			claim:  claim,
+	defer r.mu.Unlock()
+	r.expire()
+	if known := r.keys[id]; known != nil {
+		return nil, known, nil
+	}
+	phase := use.Phase()
+	if ticket != nil {
+		if refusal := r.tooOld(ticket); refusal != nil {
+			return nil, nil, refusal
 		}
-		r.mu.Unlock()
-		return claim, nil
+		phase = outcome.Held
 	}
-	r.mu.Unlock()
-	if known.digest != digest {
-		return nil, refuse(outcome.NotRun, outcome.ReasonKeyReused, "the key was used for another request")
+	if len(r.keys) >= r.maxRecords {
+		return nil, nil, refuse(phase, outcome.ReasonKeysFull, "this entry remembers as many keys as it may")
 	}
-	select {
-	case <-known.claim.done:
-		result := known.claim.result
-		return nil, &result
-	case <-ctx.Done():
-		return nil, refuse(outcome.Unknown, outcome.ReasonRunning, "the first request with this key still runs")
+	r.number++
+	fresh = &Claim{
+		register: r,
+		name:     id,
+		number:   r.number,
+		digest:   use.Digest,
+		claimed:  time.Now(),
+		done:     make(chan struct{}),
 	}
+	r.keys[id] = fresh
+	return fresh, nil, nil
 }
 
-// claimInTable inserts the key's row, and returns nil when this process holds it.
-func (r *Register) claimInTable(ctx context.Context, name, digest string) *Result {
-	mark := fmt.Sprintf("%s:%d %s", r.Entry, r.Incarnation, digest)
-	row := "key/" + name
-	_, err := r.Table.Commit(ctx, []platform.Write{{
-		Row:   row,
-		Value: []byte(mark),
-	}})
-	if err == nil {
-		return nil
+// wait returns the result of a key's first request to a repeat.
+func (c *Claim) wait(ctx context.Context, digest Digest) *Result {
+	if c.digest != digest {
+		return refuse(outcome.Elsewhere, outcome.ReasonKeyReused, "the key was used for another request")
 	}
-	actual, readErr := r.Table.Read(ctx, row)
-	if readErr == nil && string(actual.Value) == mark {
-		return nil
-	}
-	var conflict *platform.ConflictError
-	if errors.As(err, &conflict) {
-		return refuse(outcome.Unknown, outcome.ReasonKeyElsewhere, "another entry has claimed the key")
+	select {
+	case <-c.done:
+		result := c.outcome()
+		return &result
+	case <-ctx.Done():
+		return refuse(outcome.Elsewhere, outcome.ReasonRunning, "the first request with this key still runs")
 	}
-	return refuse(outcome.NotRun, outcome.ReasonStoreDown, "the key could not be claimed; ask for a ticket with the look-up")
+}
+
+// outcome returns the result of an ended claim.
+func (c *Claim) outcome() Result {
+	c.register.mu.Lock()
+	defer c.register.mu.Unlock()
+	return c.result
 }
 
 // Finish records how the request ended. A request that did not run may be sent
 // again under the same key.
 func (c *Claim) Finish(result Result) {
-	c.register.mu.Lock()
-	defer c.register.mu.Unlock()
+	r := c.register
+	r.mu.Lock()
 	c.result = result
 	if result.Outcome.Kind == outcome.NotRun {
-		delete(c.register.keys, c.record)
+		delete(r.keys, c.name)
+		r.release(c.number)
+	} else {
+		r.answers.add(c)
+		r.ended.push(c, time.Now().Add(r.retention))
 	}
 	close(c.done)
+	r.mu.Unlock()
+	if c.revision != "" {
+		r.recordEnd(c, result)
+	}
+}
+
+// abandon ends a claim that got no row. What the caller is told is not kept:
+// a repeat asks again.
+func (c *Claim) abandon(result Result) {
+	r := c.register
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c.result = result
+	delete(r.keys, c.name)
+	r.release(c.number)
+	close(c.done)
+}
+
+// maxReleased bounds the numbers of released claims that are kept. A claim
+// whose number was dropped counts as perhaps used.
+const maxReleased = 1 << 16
+
+// release notes that a claim was given up unused. The caller holds the lock.
+func (r *Register) release(number uint64) {
+	if len(r.released) >= maxReleased {
+		delete(r.released, r.releasedAge.pop())
+	}
+	r.released[number] = struct{}{}
+	r.releasedAge.push(number, time.Now().Add(RowLifetime))
+}
+
+// expire drops what is past its time. The caller holds the lock.
+func (r *Register) expire() {
+	now := time.Now()
+	for r.ended.due(now) {
+		claim := r.ended.pop()
+		r.answers.remove(claim)
+		delete(r.keys, claim.name)
+	}
+	for r.releasedAge.due(now) {
+		delete(r.released, r.releasedAge.pop())
+	}
+}
+
+// Size returns how many keys and how many bytes of answers are remembered.
+func (r *Register) Size() (keys, answerBytes int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.keys), r.answers.size
 }
--- a/entry/machine.go
+++ b/entry/machine.go
@@ -47,6 +47,7 @@
 	links      *link.Shaper
 	view       *steering.View
 	keys       *key.Register
+	suspects   quarantine.List
 	dispatcher *dispatch.Dispatcher
 	lookups    *lookup.Server
 }
@@ -88,11 +89,7 @@
 	m.links = &link.Shaper{
 		Region: loaded.Region,
 	}
-	m.keys = &key.Register{
-		Entry:       loaded.Name,
-		Incarnation: uint64(started.UnixNano()),
-		Table:       service.Table,
-	}
+	m.keys = key.New(loaded.Name, uint64(started.UnixNano()), service.Table, m.keyOptions()...)
 	m.view = &steering.View{
 		Entry:         loaded.Name,
 		Configuration: m.keeper.Current,
@@ -115,7 +112,7 @@
 	client := m.peerClient()
 	self := &teaselv1.Member{
 		Name:            m.settings.Name,
-		Incarnation:     m.keys.Incarnation,
+		Incarnation:     m.keys.Incarnation(),
 		Region:          m.settings.Region,
 		FailureDomain:   m.settings.FailureDomain,
 		CallerAddress:   m.settings.CallersAddress,
@@ -130,6 +127,7 @@
 		membership.WithInterval(time.Duration(m.settings.Limits.HeartbeatInterval)),
 		membership.WithTimeline(clock, m.events),
 		membership.WithPart(m.view.Part()),
+		membership.WithPart(m.suspects.Part()),
 	)
 }
 
@@ -179,7 +177,7 @@
 		Slots:         m.slots,
 		Links:         m.links,
 		Keys:          m.keys,
-		Quarantine:    &quarantine.List{},
+		Quarantine:    &m.suspects,
 		Events:        m.events,
 		Metrics:       m.metrics,
 		Backends:      newTransport(),
@@ -187,6 +185,24 @@
 	}
 }
 
+// keyOptions lets the register of keys ask other claimants.
+func (m *machine) keyOptions() []key.Option {
+	client := m.peerClient()
+	options := []key.Option{
+		key.WithAsk(func(ctx context.Context, entry string, request *teaselv1.KeyRequest) (*teaselv1.KeyResponse, error) {
+			address := m.peerAddress(entry)
+			if address == "" {
+				return nil, errors.Errorf("ask entry %s for a key: unknown entry", entry)
+			}
+			return teaselv1.NewPeerServiceProtobufClient("http://"+address, client).Key(ctx, request)
+		}),
+	}
+	if longest := time.Duration(m.settings.Limits.MaxDeadline); longest > 0 {
+		options = append(options, key.WithMaxDeadline(longest))
+	}
+	return options
+}
+
 func (m *machine) peerAddress(name string) string {
 	peer, known := m.roster.Peer(name)
 	if !known {
@@ -231,6 +247,7 @@
 	var group sync.WaitGroup
 	group.Go(func() { m.keeper.Run(background) })
 	group.Go(func() { m.roster.Run(background) })
+	group.Go(func() { m.keys.Run(background) })
 	failures := make(chan error, 3)
 	servers := []*http.Server{
 		m.newServer(m.callersHandler()),
@@ -380,8 +397,6 @@
 }
 
 // Key says what became of a key.
-func (p peerServer) Key(context.Context, *teaselv1.KeyRequest) (*teaselv1.KeyResponse, error) {
-	return &teaselv1.KeyResponse{
-		State: "unknown",
-	}, nil
+func (p peerServer) Key(ctx context.Context, request *teaselv1.KeyRequest) (*teaselv1.KeyResponse, error) {
+	return p.machine.keys.Tell(ctx, request), nil
 }
--- a/header/header.go
+++ b/header/header.go
@@ -12,6 +12,10 @@
 const (
 	// IdempotencyKey carries a caller's key or a ticket of an entry.
 	IdempotencyKey = "Idempotency-Key"
+	// FirstSend is "true" on a request whose key the caller has never sent
+	// before, by any entry or connection. Only then can an entry that doesn't
+	// get as far as the key's claim say that the request did not run.
+	FirstSend = "Teasel-First-Send"
 	// Service names the service; without it the Host header does.
 	Service = "Teasel-Service"
 	// TimeoutMS is how long the caller waits for its answer, in milliseconds.
@@ -39,8 +43,12 @@
 const (
 	// InternalKey authenticates an entry to another.
 	InternalKey = InternalPrefix + "Key"
-	// InternalServer names the backend server that the sender chose.
+	// InternalServer names, in a request, what the receiver is asked to be: see
+	// dispatch.ServePeer; in a refusal, the backend server that was tried.
 	InternalServer = InternalPrefix + "Server"
+	// InternalExclude lists the backend servers that failed the request already,
+	// with commas between.
+	InternalExclude = InternalPrefix + "Exclude"
 	// InternalHops counts the entries that a request has passed.
 	InternalHops = InternalPrefix + "Hops"
 	// InternalRegion is the region of the entry that admitted the request.
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -60,8 +60,12 @@
 	ReasonUnknownService  Reason = "unknown-service"
 	ReasonKeyMissing      Reason = "key-missing"
 	ReasonKeyReused       Reason = "key-reused"
-	ReasonKeyElsewhere    Reason = "key-elsewhere"
+	ReasonKeyExpired      Reason = "key-expired"
+	ReasonKeyForged       Reason = "key-forged"
+	ReasonKeysFull        Reason = "keys-full"
+	ReasonClaimantGone    Reason = "claimant-gone"
 	ReasonStoreDown       Reason = "store-unreachable"
+	ReasonStoreBusy       Reason = "store-busy"
 	ReasonNoRoom          Reason = "no-room"
 	ReasonNoBackendServer Reason = "no-backend-server"
 	ReasonNoConfiguration Reason = "no-configuration"
@@ -71,6 +75,8 @@
 	ReasonShed            Reason = "shed"
 	ReasonConnect         Reason = "connect"
 	ReasonBroken          Reason = "connection-broken"
+	ReasonBodyBroken      Reason = "body-broken"
+	ReasonUnframed        Reason = "unframed-answer"
 	ReasonShortAnswer     Reason = "short-answer"
 	ReasonCrossedAnswer   Reason = "crossed-answer"
 	ReasonPeerLost        Reason = "peer-lost"
@@ -78,6 +84,9 @@
 	ReasonLinkFull        Reason = "link-full"
 	ReasonIssuerGone      Reason = "issuer-gone"
 	ReasonRunning         Reason = "running"
+	// ReasonAnswerForgotten goes with done: the key's request ran and was
+	// answered with the given status; the answer itself is remembered no more.
+	ReasonAnswerForgotten Reason = "answer-not-remembered"
 )
 
 // HTTPStatus returns the status that the caller is answered with.
@@ -86,7 +95,7 @@
 		return o.Status
 	}
 	switch o.Reason {
-	case ReasonBadRequest, ReasonKeyMissing:
+	case ReasonBadRequest, ReasonKeyMissing, ReasonKeyForged, ReasonBodyBroken:
 		return http.StatusBadRequest
 	case ReasonUnknownService:
 		return http.StatusNotFound
@@ -95,8 +104,19 @@
 	case ReasonRunning:
 		return http.StatusConflict
 	}
-	if o.Kind == Unknown {
+	if o.Kind == Unknown && !o.Reason.beforeDispatch() {
 		return http.StatusBadGateway
 	}
 	return http.StatusServiceUnavailable
 }
+
+// beforeDispatch reports whether the reason is that of an entry which refused
+// a request without sending it on. Under a key that was sent before, that
+// leaves open what became of the earlier request.
+func (r Reason) beforeDispatch() bool {
+	switch r {
+	case ReasonStoreDown, ReasonStoreBusy, ReasonKeysFull, ReasonStopping, ReasonNoConfiguration:
+		return true
+	}
+	return false
+}
