Seats: one process an entry, fenced by incarnation in the table

An entry's incarnation was its start time: a replaced VM whose clock is behind came up below its predecessor and was not believed. Now a start takes the seat's row by a conditional write, above the row and above what peers know; nothing is renewed, an older process learns of the newer from its peers or the row, and stops. With the store down the incarnation is provisional and written later.

Ruled out: renewal and expiry. 3,600 nodes that renew every 10 s would be 360 writes a second of several hundred; a seat now is one write a start and one read a minute (60 reads a second at 3,600).

Seen red: unconditional write: "first.Incarnation() is second.Incarnation()"; no look for the own mark: 2 commits in place of 1; peers not asked: " !="; row not read: the same and the race; stop on an unreachable store: "nobody stops because the store is down"; provisional never written: next.Held() false.

--- a/entry/machine.go
+++ b/entry/machine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/subtle"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -19,6 +20,7 @@
 	"github.com/teaselstack/teaselstack/entry/configuration"
 	"github.com/teaselstack/teaselstack/entry/dispatch"
 	"github.com/teaselstack/teaselstack/entry/key"
+	"github.com/teaselstack/teaselstack/entry/lease"
 	"github.com/teaselstack/teaselstack/entry/link"
 	"github.com/teaselstack/teaselstack/entry/lookup"
 	"github.com/teaselstack/teaselstack/entry/membership"
@@ -47,9 +49,14 @@
 	links      *link.Shaper
 	view       *steering.View
 	keys       *key.Register
+	suspects   quarantine.List
 	dispatcher *dispatch.Dispatcher
 	lookups    *lookup.Server
 	peers      *http.Client
+	seat       *lease.Seat
+	// superseded is closed when another process has this entry's seat.
+	superseded     chan struct{}
+	supersededOnce sync.Once
 }
 
 const (
@@ -68,15 +75,17 @@
 	clock := &timeline.Clock{}
 	started := time.Now()
 	m := &machine{
-		settings: loaded,
-		logger:   logger,
-		metrics:  metrics.NewRegistry(),
-		started:  started,
-		events:   timeline.NewRing(loaded.Name, loaded.Limits.TimelineEvents, clock),
+		settings:   loaded,
+		logger:     logger,
+		metrics:    metrics.NewRegistry(),
+		started:    started,
+		superseded: make(chan struct{}),
+		events:     timeline.NewRing(loaded.Name, loaded.Limits.TimelineEvents, clock),
 	}
 	m.peers = m.peerClient()
 	service := platform.NewClient(loaded.Platform, &http.Client{
-		Timeout: platformTimeout,
+		Transport: m.newTransport(),
+		Timeout:   platformTimeout,
 	}).Platform()
 	m.keeper = &configuration.Keeper{
 		Platform:     service,
@@ -93,11 +102,8 @@
 	m.links = &link.Shaper{
 		Region: loaded.Region,
 	}
-	m.keys = &key.Register{
-		Entry:       loaded.Name,
-		Incarnation: uint64(started.UnixNano()),
-		Table:       service.Table,
-	}
+	m.seat = m.takeSeat(service.Table)
+	m.keys = key.New(loaded.Name, m.seat.Incarnation(), service.Table, m.keyOptions()...)
 	m.view = &steering.View{
 		Entry:         loaded.Name,
 		Configuration: m.keeper.Current,
@@ -120,7 +126,7 @@
 	client := m.peers
 	self := &teaselv1.Member{
 		Name:            m.settings.Name,
-		Incarnation:     m.keys.Incarnation,
+		Incarnation:     m.keys.Incarnation(),
 		Region:          m.settings.Region,
 		FailureDomain:   m.settings.FailureDomain,
 		CallerAddress:   m.settings.CallersAddress,
@@ -136,9 +142,45 @@
 		membership.WithTimeline(clock, m.events),
 		membership.WithPart(m.view.Part()),
 		membership.WithPart(m.keeper.Part()),
+		membership.WithPart(m.suspects.Part()),
+		membership.WithSuperseded(m.giveUpSeat),
 	)
 }
 
+// takeSeat takes this entry's seat under a higher incarnation than any before.
+func (m *machine) takeSeat(table platform.Table) *lease.Seat {
+	seat := &lease.Seat{
+		Entry:       m.settings.Name,
+		PeerAddress: m.settings.PeersAddress,
+		Peers:       m.settings.Peers,
+		Table:       table,
+		Events:      m.events,
+		Lost:        m.giveUpSeat,
+		Ask: func(ctx context.Context, address string) (uint64, error) {
+			response, err := teaselv1.NewPeerServiceProtobufClient("http://"+address, m.peers).
+				Seat(ctx, &teaselv1.SeatRequest{
+					Entry: m.settings.Name,
+				})
+			return response.GetIncarnation(), err
+		},
+	}
+	seat.Take(context.Background())
+	return seat
+}
+
+// giveUpSeat stops this process: another one has its seat, and a higher
+// incarnation.
+func (m *machine) giveUpSeat(incarnation uint64) {
+	m.supersededOnce.Do(func() {
+		m.events.Record(timeline.Event{
+			Kind:   "seat-lost",
+			Detail: fmt.Sprintf("to incarnation=%d", incarnation),
+		})
+		m.logger.Error().Str("event", "seat-lost").Uint64("to", incarnation).Msg("")
+		close(m.superseded)
+	})
+}
+
 // fetchConfiguration asks a peer for the steps after a version.
 func (m *machine) fetchConfiguration(ctx context.Context, address string, after uint64) ([]*teaselv1.Delta, error) {
 	response, err := teaselv1.NewPeerServiceProtobufClient("http://"+address, m.peers).
@@ -156,7 +198,7 @@
 	return &http.Client{
 		Transport: authenticated{
 			key:  m.settings.PeerKey,
-			next: newTransport(),
+			next: m.newTransport(),
 		},
 	}
 }
@@ -173,11 +215,10 @@
 	return a.next.RoundTrip(request)
 }
 
-func newTransport() *http.Transport {
+// newTransport returns a transport to peers, backend servers or the platform.
+func (m *machine) newTransport() *http.Transport {
 	return &http.Transport{
-		DialContext: (&net.Dialer{
-			Timeout: dialTimeout,
-		}).DialContext,
+		DialContext:           newDial(m.settings),
 		MaxIdleConnsPerHost:   idleConnections,
 		IdleConnTimeout:       time.Minute,
 		ExpectContinueTimeout: expectTimeout,
@@ -197,14 +238,32 @@
 		Slots:         m.slots,
 		Links:         m.links,
 		Keys:          m.keys,
-		Quarantine:    &quarantine.List{},
+		Quarantine:    &m.suspects,
 		Events:        m.events,
 		Metrics:       m.metrics,
-		Backends:      newTransport(),
-		Peers:         newTransport(),
+		Backends:      m.newTransport(),
+		Peers:         m.newTransport(),
 	}
 }
 
+// keyOptions lets the register of keys ask other claimants.
+func (m *machine) keyOptions() []key.Option {
+	client := m.peers
+	options := []key.Option{
+		key.WithAsk(func(ctx context.Context, entry string, request *teaselv1.KeyRequest) (*teaselv1.KeyResponse, error) {
+			address := m.peerAddress(entry)
+			if address == "" {
+				return nil, errors.Errorf("ask entry %s for a key: unknown entry", entry)
+			}
+			return teaselv1.NewPeerServiceProtobufClient("http://"+address, client).Key(ctx, request)
+		}),
+	}
+	if longest := time.Duration(m.settings.Limits.MaxDeadline); longest > 0 {
+		options = append(options, key.WithMaxDeadline(longest))
+	}
+	return options
+}
+
 func (m *machine) peerAddress(name string) string {
 	return m.roster.Address(name)
 }
@@ -244,7 +303,9 @@
 	defer stopBackground()
 	var group sync.WaitGroup
 	group.Go(func() { m.keeper.Run(background) })
+	group.Go(func() { m.seat.Watch(background) })
 	group.Go(func() { m.roster.Run(background) })
+	group.Go(func() { m.keys.Run(background) })
 	failures := make(chan error, 3)
 	servers := []*http.Server{
 		m.newServer(m.callersHandler()),
@@ -262,6 +323,8 @@
 	var failure error
 	select {
 	case <-ctx.Done():
+	case <-m.superseded:
+		failure = errors.New("another process has this entry's seat")
 	case failure = <-failures:
 	}
 	err := m.shutdown(servers)
@@ -393,9 +456,15 @@
 	}, nil
 }
 
-// Key says what became of a key.
-func (p peerServer) Key(context.Context, *teaselv1.KeyRequest) (*teaselv1.KeyResponse, error) {
-	return &teaselv1.KeyResponse{
-		State: "unknown",
+// Seat says which incarnation of an entry this one knows.
+func (p peerServer) Seat(_ context.Context, request *teaselv1.SeatRequest) (*teaselv1.SeatResponse, error) {
+	peer, _ := p.machine.roster.Peer(request.GetEntry())
+	return &teaselv1.SeatResponse{
+		Incarnation: peer.Member.GetIncarnation(),
 	}, nil
 }
+
+// Key says what became of a key.
+func (p peerServer) Key(ctx context.Context, request *teaselv1.KeyRequest) (*teaselv1.KeyResponse, error) {
+	return p.machine.keys.Tell(ctx, request), nil
+}
