--- a/entry/configuration/configuration.go
+++ b/entry/configuration/configuration.go
@@ -38,6 +38,9 @@
 	// Changed is called after each step, in version order; it may be nil.
 	Changed func(*intent.Configuration)
 
+	// Settled is called once the entry may serve; it may be nil.
+	Settled func()
+
 	current   atomic.Pointer[intent.Configuration]
 	announced announcements
 	// settled is set once the entry may serve.
@@ -75,8 +78,11 @@
 	if k.settled.Load() || k.Current() == nil || k.Version() < known {
 		return
 	}
-	if fromPlatform || k.Introduced == nil || k.Introduced() {
-		k.settled.Store(true)
+	ready := fromPlatform || k.Introduced == nil || k.Introduced()
+	if ready && k.settled.CompareAndSwap(false, true) {
+		if k.Settled != nil {
+			k.Settled()
+		}
 		k.Events.Record(timeline.Event{
 			Kind:    "configuration-settled",
 			Version: k.Version(),
--- a/entry/machine.go
+++ b/entry/machine.go
@@ -37,11 +37,13 @@
 
 // machine is one running entry: its parts, wired together.
 type machine struct {
-	settings   settings.Settings
-	logger     *log.Logger
-	metrics    metrics.Registry
-	started    time.Time
-	stopping   atomic.Bool
+	settings settings.Settings
+	logger   *log.Logger
+	metrics  metrics.Registry
+	started  time.Time
+	stopping atomic.Bool
+	// refusing is set once new requests are refused.
+	refusing   atomic.Bool
 	events     *timeline.Ring
 	keeper     *configuration.Keeper
 	roster     *membership.Roster
@@ -72,6 +74,16 @@
 )
 
 func newMachine(loaded settings.Settings, logger *log.Logger) *machine {
+	return newMachineOn(loaded, logger, func(transport http.RoundTripper) platform.Platform {
+		return platform.NewClient(loaded.Platform, &http.Client{
+			Transport: transport,
+			Timeout:   platformTimeout,
+		}).Platform()
+	})
+}
+
+// newMachineOn returns an entry on a platform that is reached by a transport.
+func newMachineOn(loaded settings.Settings, logger *log.Logger, connect func(http.RoundTripper) platform.Platform) *machine {
 	clock := &timeline.Clock{}
 	started := time.Now()
 	m := &machine{
@@ -83,10 +95,7 @@
 		events:     timeline.NewRing(loaded.Name, loaded.Limits.TimelineEvents, clock),
 	}
 	m.peers = m.peerClient()
-	service := platform.NewClient(loaded.Platform, &http.Client{
-		Transport: m.newTransport(),
-		Timeout:   platformTimeout,
-	}).Platform()
+	service := connect(m.newTransport())
 	m.keeper = &configuration.Keeper{
 		Platform:     service,
 		Fetch:        m.fetchConfiguration,
@@ -94,6 +103,9 @@
 		Introduced:   func() bool { return m.roster.Introduced() },
 		Events:       m.events,
 		Changed:      m.configure,
+		Settled: func() {
+			m.roster.Update(func(self *teaselv1.Member) { self.Serving = true })
+		},
 	}
 	m.slots = &slot.Ledger{
 		Entry:  loaded.Name,
@@ -286,7 +298,7 @@
 		members = append(members, self)
 	}
 	for _, peer := range m.roster.AliveMembers() {
-		if !peer.GetStopping() {
+		if peer.GetServing() && !peer.GetStopping() {
 			members = append(members, peer)
 		}
 	}
@@ -336,35 +348,6 @@
 	return err
 }
 
-// shutdown leaves the look-ups, waits out the answers that callers cache, and
-// lets the requests in flight end.
-func (m *machine) shutdown(servers []*http.Server) error {
-	m.stopping.Store(true)
-	m.roster.Update(func(self *teaselv1.Member) { self.Stopping = true })
-	m.events.Record(timeline.Event{
-		Kind: "entry-stopping",
-	})
-	m.logger.Info().Str("event", "stopping").Msg("")
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(m.settings.Limits.StopTimeout))
-	defer cancel()
-	if current := m.keeper.Current(); current != nil {
-		select {
-		case <-time.After(time.Duration(current.Deployment.Lookup.Lifetime)):
-		case <-ctx.Done():
-		}
-	}
-	err := m.dispatcher.Stop(ctx)
-	for _, server := range servers {
-		if shutdownErr := server.Shutdown(ctx); err == nil {
-			err = shutdownErr
-		}
-	}
-	if err != nil {
-		return errors.Wrap(err, "shut down")
-	}
-	return nil
-}
-
 func (m *machine) newServer(handler http.Handler) *http.Server {
 	limits := m.settings.Limits
 	return &http.Server{
@@ -379,7 +362,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(teaselv1connect.NewLookupServiceHandler(m.lookups, connect.WithReadMaxBytes(m.settings.Limits.HeaderBytes)))
 	mux.HandleFunc("/", m.dispatcher.ServeCaller)
-	return mux
+	return m.leaving(mux)
 }
 
 func (m *machine) peersHandler() http.Handler {
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -60,7 +60,7 @@
 			IdleTimeout:       document.Duration(2 * time.Minute),
 			MaxDeadline:       document.Duration(10 * time.Minute),
 			HeartbeatInterval: document.Duration(500 * time.Millisecond),
-			StopTimeout:       document.Duration(30 * time.Second),
+			StopTimeout:       document.Duration(11 * time.Minute),
 			TimelineEvents:    20_000,
 		},
 	}
