--- a/api/teasel/v1/teaselv1connect/operator.connect.go
+++ b/api/teasel/v1/teaselv1connect/operator.connect.go
@@ -40,6 +40,8 @@
 	// OperatorServiceTimelineProcedure is the fully-qualified name of the OperatorService's Timeline
 	// RPC.
 	OperatorServiceTimelineProcedure = "/teasel.v1.OperatorService/Timeline"
+	// OperatorServiceOfferProcedure is the fully-qualified name of the OperatorService's Offer RPC.
+	OperatorServiceOfferProcedure = "/teasel.v1.OperatorService/Offer"
 )
 
 // OperatorServiceClient is a client for the teasel.v1.OperatorService service.
@@ -47,6 +49,7 @@
 	Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error)
 	Explain(context.Context, *connect.Request[v1.ExplainRequest]) (*connect.Response[v1.ExplainResponse], error)
 	Timeline(context.Context, *connect.Request[v1.TimelineRequest]) (*connect.Response[v1.TimelineResponse], error)
+	Offer(context.Context, *connect.Request[v1.OfferRequest]) (*connect.Response[v1.OfferResponse], error)
 }
 
 // NewOperatorServiceClient constructs a client for the teasel.v1.OperatorService service. By
@@ -78,6 +81,12 @@
 			connect.WithSchema(operatorServiceMethods.ByName("Timeline")),
 			connect.WithClientOptions(opts...),
 		),
+		offer: connect.NewClient[v1.OfferRequest, v1.OfferResponse](
+			httpClient,
+			baseURL+OperatorServiceOfferProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("Offer")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -86,6 +95,7 @@
 	status   *connect.Client[v1.StatusRequest, v1.StatusResponse]
 	explain  *connect.Client[v1.ExplainRequest, v1.ExplainResponse]
 	timeline *connect.Client[v1.TimelineRequest, v1.TimelineResponse]
+	offer    *connect.Client[v1.OfferRequest, v1.OfferResponse]
 }
 
 // Status calls teasel.v1.OperatorService.Status.
@@ -103,11 +113,17 @@
 	return c.timeline.CallUnary(ctx, req)
 }
 
+// Offer calls teasel.v1.OperatorService.Offer.
+func (c *operatorServiceClient) Offer(ctx context.Context, req *connect.Request[v1.OfferRequest]) (*connect.Response[v1.OfferResponse], error) {
+	return c.offer.CallUnary(ctx, req)
+}
+
 // OperatorServiceHandler is an implementation of the teasel.v1.OperatorService service.
 type OperatorServiceHandler interface {
 	Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error)
 	Explain(context.Context, *connect.Request[v1.ExplainRequest]) (*connect.Response[v1.ExplainResponse], error)
 	Timeline(context.Context, *connect.Request[v1.TimelineRequest]) (*connect.Response[v1.TimelineResponse], error)
+	Offer(context.Context, *connect.Request[v1.OfferRequest]) (*connect.Response[v1.OfferResponse], error)
 }
 
 // NewOperatorServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -135,6 +151,12 @@
 		connect.WithSchema(operatorServiceMethods.ByName("Timeline")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorServiceOfferHandler := connect.NewUnaryHandler(
+		OperatorServiceOfferProcedure,
+		svc.Offer,
+		connect.WithSchema(operatorServiceMethods.ByName("Offer")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/teasel.v1.OperatorService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case OperatorServiceStatusProcedure:
@@ -143,6 +165,8 @@
 			operatorServiceExplainHandler.ServeHTTP(w, r)
 		case OperatorServiceTimelineProcedure:
 			operatorServiceTimelineHandler.ServeHTTP(w, r)
+		case OperatorServiceOfferProcedure:
+			operatorServiceOfferHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -163,3 +187,7 @@
 func (UnimplementedOperatorServiceHandler) Timeline(context.Context, *connect.Request[v1.TimelineRequest]) (*connect.Response[v1.TimelineResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("teasel.v1.OperatorService.Timeline is not implemented"))
 }
+
+func (UnimplementedOperatorServiceHandler) Offer(context.Context, *connect.Request[v1.OfferRequest]) (*connect.Response[v1.OfferResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("teasel.v1.OperatorService.Offer is not implemented"))
+}
--- a/entry/machine.go
+++ b/entry/machine.go
@@ -56,6 +56,7 @@
 	lookups    *lookup.Server
 	peers      *http.Client
 	seat       *lease.Seat
+	listing    membership.Listing
 	// superseded is closed when another process has this entry's seat.
 	superseded     chan struct{}
 	supersededOnce sync.Once
@@ -96,6 +97,7 @@
 	}
 	m.peers = m.peerClient()
 	service := connect(m.newTransport())
+	m.listing.Machines = service.Machines
 	m.keeper = &configuration.Keeper{
 		Platform:     service,
 		Fetch:        m.fetchConfiguration,
@@ -156,6 +158,7 @@
 		membership.WithPart(m.keeper.Part()),
 		membership.WithPart(m.suspects.Part()),
 		membership.WithSuperseded(m.giveUpSeat),
+		membership.WithListed(m.listing.Known),
 	)
 }
 
@@ -342,6 +345,7 @@
 	err := m.shutdown(servers)
 	stopBackground()
 	group.Wait()
+	m.listing.Wait()
 	if failure != nil {
 		return failure
 	}
--- a/entry/membership/exchange.go
+++ b/entry/membership/exchange.go
@@ -27,8 +27,10 @@
 	acknowledged uint64
 	// pending names records that the peer's digests lack.
 	pending []string
-	// repaired is when digests were last compared.
+	// repaired is when digests were last compared, and pulsed when pulses were
+	// last sent.
 	repaired time.Time
+	pulsed   time.Time
 }
 
 // linkTo returns the link to a member, begun anew for a new incarnation. The
@@ -61,7 +63,7 @@
 		Absorbed: link.absorbed,
 		Revision: r.revision,
 	}
-	r.addRelayNews(peer.Member, delta)
+	r.addRelayNews(peer.Member, link, delta)
 	if link.acknowledged > 0 {
 		delta.Base = link.acknowledged
 		delta.Reports = r.changed(link.acknowledged)
@@ -91,7 +93,7 @@
 		Revision: r.revision,
 		Absorbed: link.absorbed,
 	}
-	r.addRelayNews(sender, delta)
+	r.addRelayNews(sender, link, delta)
 	if len(news.GetDigests()) == 0 {
 		delta.Reports = r.changed(news.GetAbsorbed())
 		return delta
@@ -206,7 +208,7 @@
 // merge takes over what a peer says of others, and of this entry. The caller
 // holds the lock.
 func (r *Roster) merge(sender *teaselv1.Member, delta *teaselv1.MembershipDelta) {
-	r.takeRelayNews(sender, delta)
+	r.takeRelayNews(delta)
 	for _, report := range delta.GetReports() {
 		member := report.GetMember()
 		if member.GetName() == r.self.GetName() {
--- /dev/null
+++ b/entry/membership/listing.go
@@ -0,0 +1,63 @@
+package membership
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/teaselstack/teaselstack/platform"
+)
+
+const (
+	// listingLifetime is how long an answer of the platform's list is used.
+	listingLifetime = 30 * time.Second
+	// listingTimeout bounds one question.
+	listingTimeout = 5 * time.Second
+)
+
+// Listing is what the platform's list of VMs says of entries. The list is
+// asked only while some entry is silent.
+type Listing struct {
+	Machines platform.Machines
+
+	mu     sync.Mutex
+	asked  time.Time
+	busy   bool
+	states map[string]platform.MachineState
+	group  sync.WaitGroup
+}
+
+// Known reports whether the list says that an entry is gone, and whether it
+// knows the entry at all. It answers from memory, and asks for the next time.
+func (l *Listing) Known(name string) (gone, known bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.busy && time.Since(l.asked) > listingLifetime {
+		l.busy = true
+		l.group.Go(l.refresh)
+	}
+	state, known := l.states[name]
+	return state == platform.MachineGone, known
+}
+
+// Wait waits for a question that is on its way.
+func (l *Listing) Wait() {
+	l.group.Wait()
+}
+
+func (l *Listing) refresh() {
+	ctx, cancel := context.WithTimeout(context.Background(), listingTimeout)
+	defer cancel()
+	machines, err := l.Machines.List(ctx)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.busy = false
+	l.asked = time.Now()
+	if err != nil {
+		return
+	}
+	l.states = make(map[string]platform.MachineState, len(machines))
+	for _, machine := range machines {
+		l.states[machine.Name] = machine.State
+	}
+}
--- a/entry/membership/membership.go
+++ b/entry/membership/membership.go
@@ -92,7 +92,7 @@
 	// revision counts changes of records; selfRevision is that of the own one.
 	revision     uint64
 	selfRevision uint64
-	pulses       map[string]*pulse
+	pulses       map[uint32]*pulse
 	cutDomains   map[string]time.Time
 	index        index
 	// distant is the relay of another failure domain exchanged with at present.
@@ -172,7 +172,7 @@
 		self:       self,
 		peers:      make(map[string]*Peer),
 		links:      make(map[string]*link),
-		pulses:     make(map[string]*pulse),
+		pulses:     make(map[uint32]*pulse),
 		cutDomains: make(map[string]time.Time),
 		tasks:      make(map[string]*task),
 		unasked:    make(map[string]bool),
--- a/entry/membership/network_test.go
+++ b/entry/membership/network_test.go
@@ -58,7 +58,7 @@
 	ctx, stop := context.WithCancel(t.Context())
 	started := &node{
 		member: member,
-		events: timeline.NewRing(member.GetName(), 500, clock),
+		events: timeline.NewRing(member.GetName(), 5000, clock),
 		stop:   stop,
 	}
 	options := append([]Option{WithSeeds(seeds), WithTimeline(clock, started.events)}, n.options...)
--- a/entry/membership/task.go
+++ b/entry/membership/task.go
@@ -87,14 +87,14 @@
 	delete(r.unasked, address)
 }
 
-// pace is the time to the next heartbeat: a silent peer is asked twice as
-// often, so that lost heartbeats are told from a dead peer.
+// pace is the time to the next heartbeat: a silent peer is asked more often,
+// so that lost heartbeats are told from a dead peer.
 func (r *Roster) pace(address string, interval time.Duration) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	peer := r.byAddress(address)
 	if peer != nil && peer.State == Alive && time.Since(peer.Heard) > interval {
-		return interval / 2
+		return min(interval, r.interval) / 2
 	}
 	return interval
 }
--- a/entry/membership/topology.go
+++ b/entry/membership/topology.go
@@ -1,10 +1,13 @@
 package membership
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	teaselv1 "github.com/teaselstack/teaselstack/api/teasel/v1"
 	"github.com/teaselstack/teaselstack/timeline"
 )
@@ -16,16 +19,21 @@
 	relays = 2
 	// relayPace and memberPace are the times between two exchanges of relays
 	// with each other and of an entry with its relays, in heartbeat intervals.
-	relayPace  = 2
-	memberPace = 4
+	relayPace  = 4
+	memberPace = 8
+	// distantPace is the time between two heartbeats of a mesh's members that
+	// are not partners, in heartbeat intervals; each hears the other twice in it.
+	distantPace = 2
 	// domainCutAfter is how long a failure domain's pulse stands still before it
 	// counts as cut, in heartbeat intervals.
-	domainCutAfter = 40
+	domainCutAfter = 60
+	// pulseUnit is the time by which a count of a pulse grows by one.
+	pulseUnit = time.Second
 )
 
 // pulse is the last count seen of a failure domain.
 type pulse struct {
-	count uint64
+	count uint32
 	grown time.Time
 }
 
@@ -52,8 +60,9 @@
 			targets[address] = r.interval
 		}
 		for _, peer := range r.peers {
-			targets[peer.Member.GetPeerAddress()] = r.interval
+			targets[peer.Member.GetPeerAddress()] = r.distantInterval()
 		}
+		r.addPartners(targets)
 		return targets
 	}
 	neighbours := r.neighbours()
@@ -68,17 +77,31 @@
 	for _, member := range neighbours {
 		targets[member.GetPeerAddress()] = r.interval
 	}
-	if r.partners != nil {
-		for _, name := range r.partners() {
-			if peer := r.peers[name]; peer != nil {
-				targets[peer.Member.GetPeerAddress()] = r.interval
-			}
-		}
-	}
+	r.addPartners(targets)
 	delete(targets, r.self.GetPeerAddress())
 	return targets
 }
 
+// distantInterval is the time between two heartbeats to a peer that is no
+// partner; without knowledge of partners each peer may be one.
+func (r *Roster) distantInterval() time.Duration {
+	if r.partners == nil {
+		return r.interval
+	}
+	return distantPace * r.interval
+}
+
+func (r *Roster) addPartners(targets map[string]time.Duration) {
+	if r.partners == nil {
+		return
+	}
+	for _, name := range r.partners() {
+		if peer := r.peers[name]; peer != nil {
+			targets[peer.Member.GetPeerAddress()] = r.interval
+		}
+	}
+}
+
 // neighbours returns the next members of the own failure domain in hash order,
 // beyond those already found dead.
 func (r *Roster) neighbours() []*teaselv1.Member {
@@ -113,9 +136,7 @@
 }
 
 func (r *Roster) isRelay() bool {
-	return slices.ContainsFunc(r.relaysOf(r.self.GetFailureDomain()), func(m *teaselv1.Member) bool {
-		return m.GetName() == r.self.GetName()
-	})
+	return r.relayOf(r.self)
 }
 
 // distantRelay returns some relay of some other failure domain, another one
@@ -142,8 +163,13 @@
 	if r.meshed() || !r.isRelay() {
 		return
 	}
-	r.feel(r.self.GetFailureDomain(), uint64(time.Now().UnixMilli()))
-	for name, pulse := range r.pulses {
+	own := r.self.GetFailureDomain()
+	r.feel(domainHash(own), uint32(time.Now().UnixNano()/int64(pulseUnit)))
+	for _, name := range r.otherDomains() {
+		pulse := r.pulses[domainHash(name)]
+		if pulse == nil {
+			continue
+		}
 		still := time.Since(pulse.grown) > domainCutAfter*r.interval
 		if _, cut := r.cutDomains[name]; cut != still {
 			r.setCut(name, still)
@@ -151,8 +177,13 @@
 	}
 }
 
+// domainHash stands for a failure domain's name in pulses.
+func domainHash(name string) uint32 {
+	return uint32(xxhash.Sum64String(name))
+}
+
 // feel takes a failure domain's pulse over.
-func (r *Roster) feel(domain string, count uint64) {
+func (r *Roster) feel(domain, count uint32) {
 	known := r.pulses[domain]
 	if known == nil {
 		known = &pulse{}
@@ -177,32 +208,41 @@
 	})
 }
 
-// addRelayNews adds pulses for relays of other failure domains, and the
-// domains that are cut for entries of the own one.
-func (r *Roster) addRelayNews(to *teaselv1.Member, delta *teaselv1.MembershipDelta) {
+// addRelayNews adds pulses for relays, and the domains that are cut for entries
+// of the own one.
+func (r *Roster) addRelayNews(to *teaselv1.Member, known *link, delta *teaselv1.MembershipDelta) {
 	if r.meshed() || !r.isRelay() {
 		return
 	}
 	if to.GetFailureDomain() == r.self.GetFailureDomain() {
-		for name := range r.cutDomains {
-			delta.Cut = append(delta.Cut, name)
-		}
-		slices.Sort(delta.Cut)
+		delta.Relay = true
+		delta.Cut = slices.Sorted(maps.Keys(r.cutDomains))
 	}
-	for name, pulse := range r.pulses {
-		delta.Pulses = append(delta.Pulses, &teaselv1.DomainPulse{
-			FailureDomain: name,
-			Count:         pulse.count,
-		})
+	if time.Since(known.pulsed) < relayPace*r.interval || !r.relayOf(to) {
+		return
+	}
+	known.pulsed = time.Now()
+	for domain, pulse := range r.pulses {
+		delta.Pulsed = append(delta.Pulsed, domain)
+		delta.Pulses = append(delta.Pulses, pulse.count)
 	}
 }
 
+// relayOf reports whether a member is a relay of its failure domain.
+func (r *Roster) relayOf(member *teaselv1.Member) bool {
+	return slices.ContainsFunc(r.relaysOf(member.GetFailureDomain()), func(m *teaselv1.Member) bool {
+		return m.GetName() == member.GetName()
+	})
+}
+
 // takeRelayNews reads what addRelayNews wrote.
-func (r *Roster) takeRelayNews(from *teaselv1.Member, delta *teaselv1.MembershipDelta) {
-	for _, pulse := range delta.GetPulses() {
-		r.feel(pulse.GetFailureDomain(), pulse.GetCount())
+func (r *Roster) takeRelayNews(delta *teaselv1.MembershipDelta) {
+	for i, domain := range delta.GetPulsed() {
+		if i < len(delta.GetPulses()) {
+			r.feel(domain, delta.GetPulses()[i])
+		}
 	}
-	if r.meshed() || r.isRelay() || from.GetFailureDomain() != r.self.GetFailureDomain() || len(delta.GetPulses()) == 0 {
+	if !delta.GetRelay() || r.meshed() || r.isRelay() {
 		return
 	}
 	for name := range r.cutDomains {
--- a/entry/operator/operator.go
+++ b/entry/operator/operator.go
@@ -159,3 +159,17 @@
 	}
 	return connect.NewResponse(response), nil
 }
+
+// Offer takes over the step to a version that was just published. An entry that
+// lacks the step's parent passes it over; it learns the version as always.
+func (s *Server) Offer(_ context.Context, request *connect.Request[teaselv1.OfferRequest]) (*connect.Response[teaselv1.OfferResponse], error) {
+	step := request.Msg.GetStep()
+	if step.GetParent() == s.Keeper.Version() {
+		if err := s.Keeper.Apply([]*teaselv1.Delta{step}, "operator"); err != nil {
+			return nil, connect.NewError(connect.CodeInvalidArgument, err)
+		}
+	}
+	return connect.NewResponse(&teaselv1.OfferResponse{
+		ConfigurationVersion: s.Keeper.Version(),
+	}), nil
+}
--- a/teaselctl/control/control.go
+++ b/teaselctl/control/control.go
@@ -76,14 +76,16 @@
 	client := &http.Client{
 		Timeout: callTimeout,
 	}
-	return &Operator{
+	operator := &Operator{
 		settings: settings,
 		client:   client,
-		publisher: &publication.Publisher{
-			Platform: platform.NewClient(settings.Platform, client).Platform(),
-			Author:   author(),
-		},
 	}
+	operator.publisher = &publication.Publisher{
+		Platform: platform.NewClient(settings.Platform, client).Platform(),
+		Author:   author(),
+		Accepted: operator.offer,
+	}
+	return operator
 }
 
 func author() string {
--- a/teaselctl/control/publish.go
+++ b/teaselctl/control/publish.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -84,6 +85,30 @@
 	return o.publisher.Publish(ctx, proposal.current, proposal.change)
 }
 
+const (
+	// maxOffers is how many entries are handed a published step.
+	maxOffers = 8
+	// offerTimeout bounds one of them.
+	offerTimeout = 2 * time.Second
+)
+
+// offer hands the step to an accepted version to some entries, so that it
+// reaches all of them even if the platform fails now. An entry that can't be
+// reached learns it from the others.
+func (o *Operator) offer(ctx context.Context, step *teaselv1.Delta) {
+	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
+	defer cancel()
+	var group sync.WaitGroup
+	for _, address := range o.settings.Entries[:min(len(o.settings.Entries), maxOffers)] {
+		group.Go(func() {
+			_, _ = o.entry(address).Offer(ctx, authorized(o, &teaselv1.OfferRequest{
+				Step: step,
+			}))
+		})
+	}
+	group.Wait()
+}
+
 // ProposeDrain prepares a drain.
 func (o *Operator) ProposeDrain(ctx context.Context, drain intent.Drain) (*Proposal, error) {
 	content, err := toml.Marshal(drain)
