--- a/entry/dispatch/forward.go
+++ b/entry/dispatch/forward.go
@@ -210,8 +210,12 @@
 	out := &http.Request{
 		Method: incoming.Method,
 		URL:    &target,
-		Host:   incoming.Host,
-		Header: incoming.Header.Clone(),
+		// Without a version net/http does not wait for 100 Continue.
+		Proto:      "HTTP/1.1",
+		ProtoMajor: 1,
+		ProtoMinor: 1,
+		Host:       incoming.Host,
+		Header:     incoming.Header.Clone(),
 	}
 	header.StripHopByHop(out.Header)
 	out.Header.Del("Expect")
--- a/entry/dispatch/network_test.go
+++ b/entry/dispatch/network_test.go
@@ -88,6 +88,7 @@
 
 func (w *wire) Write(buffer []byte) (int, error) {
 	w.net.waitWhilePaused(w.near)
+	w.net.waitWhilePaused(direction(w.near, w.far))
 	return w.Conn.Write(buffer)
 }
 
@@ -180,7 +181,12 @@
 	return n.cuts[[2]string{a, b}]
 }
 
-// pause stops a process's input and output until resume.
+// direction names what one process sends another, to be paused on its own.
+func direction(near, far string) string {
+	return near + " to " + far
+}
+
+// pause stops a process's input and output, or one direction, until resume.
 func (n *network) pause(process string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/entry/dispatch/request.go
+++ b/entry/dispatch/request.go
@@ -41,7 +41,9 @@
 
 	incoming *http.Request
 	arrived  time.Time
-	timeout  time.Duration
+	// arrivedWall is arrived by the wall clock alone.
+	arrivedWall time.Time
+	timeout     time.Duration
 	// start is the beginning of the body, kept for the digest and for retries.
 	start []byte
 	// rest is what follows start; nil when start is the whole body.
@@ -251,6 +253,7 @@
 // deadline and the entry's own limit, reading and writing included.
 func (d *Dispatcher) setTimeout(w http.ResponseWriter, req *Request) {
 	req.arrived = time.Now()
+	req.arrivedWall = req.arrived.Round(0)
 	req.timeout = time.Duration(req.Service.Deadline)
 	if text := req.incoming.Header.Get(header.TimeoutMS); text != "" {
 		if value, err := strconv.ParseInt(text, 10, 32); err == nil && value > 0 {
@@ -282,5 +285,5 @@
 // process that was paused must not dispatch what it held.
 func (r *Request) overdue() bool {
 	now := time.Now()
-	return now.Sub(r.arrived) >= r.timeout || now.Round(0).Sub(r.arrived.Round(0)) >= r.timeout
+	return now.Sub(r.arrived) >= r.timeout || now.Sub(r.arrivedWall) >= r.timeout
 }
--- a/entry/slot/slot.go
+++ b/entry/slot/slot.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -132,7 +133,7 @@
 	var best *server
 	owned := false
 	for _, candidate := range l.servers {
-		if candidate.intent.Service != ask.Service || candidate.draining {
+		if candidate.intent.Service != ask.Service || candidate.draining || slices.Contains(ask.Exclude, candidate.intent.Name) {
 			continue
 		}
 		owned = true
