Keys and quarantine under test; a relay to a ticket's issuer never guesses

Only what the issuer itself states counts now.

The questions to claimants name the entry too, and old rows are looked for shard after shard.

--- a/entry/dispatch/dispatch.go
+++ b/entry/dispatch/dispatch.go
@@ -61,6 +61,8 @@
 type answer struct {
 	response *http.Response
 	outcome  outcome.Outcome
+	// stated is set on an outcome that a peer stated.
+	stated bool
 	// server is the backend server that was tried, "" when none was.
 	server string
 	// release gives back what the response holds, told how its copying ended;
--- a/entry/dispatch/fleet_test.go
+++ b/entry/dispatch/fleet_test.go
@@ -350,6 +350,11 @@
 	return total
 }
 
+// wait lets the bubble's clock advance.
+func (f *fleet) wait(duration time.Duration) {
+	time.Sleep(duration)
+}
+
 // allRuns returns how many requests ran.
 func (f *fleet) allRuns() int {
 	total := 0
--- a/entry/dispatch/relay.go
+++ b/entry/dispatch/relay.go
@@ -53,12 +53,17 @@
 	ans := d.relay(ctx, req, address, region, func(headers http.Header) {
 		headers.Set(header.InternalServer, asIssuer)
 	})
-	if ans.response == nil && ans.outcome.Reason == outcome.ReasonPeerLost {
-		if ans.outcome.Kind == outcome.Unknown {
-			phase = outcome.Elsewhere
-		}
-		ans.outcome = outcome.End(phase, outcome.ReasonIssuerGone, ans.outcome.Detail)
+	if ans.response != nil || ans.stated {
+		return ans
+	}
+	if ans.outcome.Kind == outcome.Unknown {
+		phase = outcome.Elsewhere
+	}
+	reason := ans.outcome.Reason
+	if reason == outcome.ReasonPeerLost {
+		reason = outcome.ReasonIssuerGone
 	}
+	ans.outcome = outcome.End(phase, reason, ans.outcome.Detail)
 	return ans
 }
 
@@ -94,6 +99,7 @@
 		out.Status = response.StatusCode
 		return answer{
 			outcome: out,
+			stated:  true,
 			server:  response.Header.Get(header.InternalServer),
 		}
 	}
--- a/entry/dispatch/retry_test.go
+++ b/entry/dispatch/retry_test.go
@@ -27,7 +27,7 @@
 		}
 		f.net.pause(direction(home, admitting))
 		f.faults.Go(func() {
-			time.Sleep(deadline / 4)
+			f.wait(deadline / 4)
 			f.net.cut(admitting, home)
 			f.net.resume(direction(home, admitting))
 		})
@@ -57,6 +57,16 @@
 			assert.Assert(t, s.runs[""] <= 1, "%s ran it %d times", s.name, s.runs[""])
 		}
 	})
+	withFleet(t, func(f *fleet) {
+		f.everyServer(func(*http.Request) string { return "crossed" })
+		f.net.cut(f.process("entry-0"), f.process("entry-1"))
+		f.net.cut(f.process("entry-0"), f.process("entry-2"))
+		f.send(sending{
+			entry:  "entry-0",
+			method: http.MethodGet,
+		})
+		assert.Equal(t, f.allRuns(), serversEach)
+	})
 }
 
 // TestUnknownIsNotForgotten ends an idempotent request by a refusal, after an
@@ -91,7 +101,7 @@
 				entry:  "entry-0",
 				method: http.MethodGet,
 			})
-			time.Sleep(2 * deadline)
+			f.wait(2 * deadline)
 		}
 		assert.Assert(t, f.allRuns() <= requests+requests/10+10, "%d runs", f.allRuns())
 		assert.Assert(t, f.allRuns() >= requests+requests/10, "%d runs", f.allRuns())
@@ -139,7 +149,7 @@
 					})
 				})
 			}
-			time.Sleep(10 * time.Millisecond)
+			f.wait(10 * time.Millisecond)
 			got := f.send(sending{
 				entry: fmt.Sprintf("entry-%d", i%entries),
 				key:   fmt.Sprintf("poison-%d", i),
@@ -153,7 +163,7 @@
 				assert.Equal(t, f.totalRuns(fmt.Sprintf("poison-%d", i)), 0)
 			}
 			f.gossip()
-			time.Sleep(deadline)
+			f.wait(deadline)
 		}
 		for range sent {
 			got := <-bystanders
@@ -176,7 +186,7 @@
 	withFleet(t, func(f *fleet) {
 		f.everyServer(func(r *http.Request) string {
 			if r.ContentLength == int64(len("poison")) {
-				time.Sleep(20 * time.Millisecond)
+				f.wait(20 * time.Millisecond)
 				return "crash"
 			}
 			return "slow"
@@ -202,7 +212,7 @@
 				body:  strings.NewReader("poison"),
 			})
 			f.gossip()
-			time.Sleep(2 * deadline)
+			f.wait(2 * deadline)
 		}
 		for range 4 {
 			got := <-innocent
--- a/entry/key/claim.go
+++ b/entry/key/claim.go
@@ -173,6 +173,7 @@
 		response, err := r.ask(attempt, row.GetEntry(), &teaselv1.KeyRequest{
 			Service:     use.Service,
 			Key:         use.Key,
+			Entry:       row.GetEntry(),
 			Incarnation: row.GetIncarnation(),
 			Number:      row.GetNumber(),
 		})
@@ -209,7 +210,7 @@
 // Tell answers a peer that asks what became of a claim of this entry. While
 // the request runs it waits a little for its end.
 func (r *Register) Tell(ctx context.Context, request *teaselv1.KeyRequest) *teaselv1.KeyResponse {
-	if request.GetIncarnation() != r.incarnation {
+	if request.GetEntry() != r.entry || request.GetIncarnation() != r.incarnation {
 		return &teaselv1.KeyResponse{}
 	}
 	r.mu.Lock()
@@ -273,17 +274,18 @@
 	r.journal.writeLater(write)
 }
 
-// sweep removes rows past their lifetime, one random shard after another.
+// sweep removes rows past their lifetime, one shard after another from a
+// random one on.
 func (r *Register) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
-	for {
+	for shard := rand.IntN(shards); ; shard = (shard + 1) % shards {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		r.sweepShard(ctx, rand.IntN(shards))
+		r.sweepShard(ctx, shard)
 	}
 }
 
--- /dev/null
+++ b/entry/key/key_test.go
@@ -0,0 +1,261 @@
+package key_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"gotest.tools/v3/assert"
+
+	teaselv1 "github.com/teaselstack/teaselstack/api/teasel/v1"
+	"github.com/teaselstack/teaselstack/entry/key"
+	"github.com/teaselstack/teaselstack/outcome"
+	"github.com/teaselstack/teaselstack/platform"
+	"github.com/teaselstack/teaselstack/platform/memory"
+)
+
+const (
+	longest = time.Minute
+	digests = "0123456789abcdef"
+)
+
+var digest = key.Digest([]byte(digests))
+
+// slow returns a table that a round trip lies before, and the count of rows
+// written.
+func slow(store *memory.Store, roundTrip time.Duration) (platform.Table, *int) {
+	var mu sync.Mutex
+	rows := 0
+	table := store.Platform().Table
+	commit := table.Commit
+	table.Commit = func(ctx context.Context, writes []platform.Write) ([]platform.Revision, error) {
+		time.Sleep(roundTrip)
+		revisions, err := commit(ctx, writes)
+		mu.Lock()
+		defer mu.Unlock()
+		if err == nil {
+			rows += len(writes)
+		}
+		return revisions, err
+	}
+	return table, &rows
+}
+
+// withRegister runs a test on a running register.
+func withRegister(t *testing.T, name string, table platform.Table, test func(*key.Register), options ...key.Option) {
+	t.Helper()
+	register := key.New(name, 1, table, append([]key.Option{key.WithMaxDeadline(longest)}, options...)...)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { register.Run(ctx) })
+	defer group.Wait()
+	defer cancel()
+	test(register)
+}
+
+func use(name string) key.Use {
+	return key.Use{
+		Service: "offers",
+		Key:     name,
+		Digest:  digest,
+	}
+}
+
+func done(body string) key.Result {
+	return key.Result{
+		Outcome: outcome.End(outcome.Answered, "", ""),
+		Status:  200,
+		Answer: &key.Answer{
+			Body: []byte(body),
+		},
+	}
+}
+
+// TestTicketAges uses tickets before and after their lifetime, and after that
+// of their records.
+func TestTicketAges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		withRegister(t, "entry-1", platform.Table{}, func(register *key.Register) {
+			used, unused := register.Issue(), register.Issue()
+			claim, _ := register.Begin(t.Context(), use(used))
+			claim.Finish(done("answer"))
+			told := func(ticket string) string {
+				claim, result := register.Begin(t.Context(), use(ticket))
+				if claim != nil {
+					return "runs"
+				}
+				return fmt.Sprintf("%s %s", result.Outcome.Kind, result.Outcome.Reason)
+			}
+			assert.Equal(t, told(used), "done ")
+			time.Sleep(key.TicketLifetime + longest/2)
+			assert.Equal(t, told(used), "done ")
+			assert.Equal(t, told(unused), "not-run key-expired")
+			time.Sleep(longest)
+			assert.Equal(t, told(used), "unknown key-expired")
+			assert.Equal(t, told(unused), "unknown key-expired")
+			keys, bytes := register.Size()
+			assert.Equal(t, keys+bytes, 0)
+		})
+	})
+}
+
+// TestBounds fills the memory of keys and of answers.
+func TestBounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		withRegister(t, "entry-1", platform.Table{}, func(register *key.Register) {
+			var tickets []string
+			for range 10 {
+				ticket := register.Issue()
+				tickets = append(tickets, ticket)
+				claim, _ := register.Begin(t.Context(), use(ticket))
+				claim.Finish(done(strings.Repeat("x", 100)))
+			}
+			_, bytes := register.Size()
+			assert.Equal(t, bytes, 300)
+			for i, ticket := range tickets {
+				_, result := register.Begin(t.Context(), use(ticket))
+				assert.Equal(t, result.Outcome.Kind, outcome.Done)
+				assert.Equal(t, result.Answer != nil, i >= 7)
+			}
+			claim, result := register.Begin(t.Context(), use(register.Issue()))
+			assert.Assert(t, claim == nil)
+			assert.Equal(t, result.Outcome.Kind, outcome.NotRun)
+			assert.Equal(t, result.Outcome.Reason, outcome.ReasonKeysFull)
+		}, key.WithMaxRecords(10), key.WithAnswerMemory(300))
+	})
+}
+
+// TestConflictFailsNoOther claims many keys at once of which some are taken.
+func TestConflictFailsNoOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var store memory.Store
+		table, _ := slow(&store, 10*time.Millisecond)
+		withRegister(t, "entry-1", table, func(first *key.Register) {
+			for i := range 10 {
+				claim, _ := first.Begin(t.Context(), use(fmt.Sprintf("key-%d", 4*i)))
+				claim.Finish(done(""))
+			}
+		})
+		withRegister(t, "entry-2", table, func(second *key.Register) {
+			var group sync.WaitGroup
+			claimed := make([]bool, 40)
+			for i := range claimed {
+				group.Go(func() {
+					claim, result := second.Begin(t.Context(), use(fmt.Sprintf("key-%d", i)))
+					claimed[i] = claim != nil
+					if claim == nil {
+						assert.Check(t, result.Outcome.Kind == outcome.Done)
+						return
+					}
+					claim.Finish(done(""))
+				})
+			}
+			group.Wait()
+			for i, is := range claimed {
+				assert.Equal(t, is, i%4 != 0, "key-%d", i)
+			}
+		})
+	})
+}
+
+// TestLostAnswers loses the answer of each write in turn, whether the write
+// took effect or not.
+func TestLostAnswers(t *testing.T) {
+	lost := errors.New("answer lost")
+	for write := range 4 {
+		for _, effect := range []bool{false, true} {
+			synctest.Test(t, func(t *testing.T) {
+				var store memory.Store
+				table := store.Platform().Table
+				commit := table.Commit
+				writes := 0
+				table.Commit = func(ctx context.Context, batch []platform.Write) ([]platform.Revision, error) {
+					writes++
+					if writes-1 != write {
+						return commit(ctx, batch)
+					}
+					if effect {
+						_, _ = commit(ctx, batch)
+					}
+					return nil, lost
+				}
+				runs := 0
+				for _, name := range []string{"entry-1", "entry-2"} {
+					withRegister(t, name, table, func(register *key.Register) {
+						for range 2 {
+							claim, result := register.Begin(t.Context(), use("key"))
+							if claim != nil {
+								runs++
+								claim.Finish(done(""))
+								time.Sleep(time.Second)
+								continue
+							}
+							assert.Check(t, result.Outcome.Kind != outcome.NotRun || runs == 0, "write %d: %v", write, result.Outcome)
+						}
+					})
+				}
+				assert.Equal(t, runs, 1, "write %d, effect %t", write, effect)
+			})
+		}
+	}
+}
+
+// TestReleasedAtClaimant takes a claim over from an entry that gave it up and
+// could not say so in the table.
+func TestReleasedAtClaimant(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var store memory.Store
+		table := store.Platform().Table
+		broken := table
+		broken.Commit = func(ctx context.Context, writes []platform.Write) ([]platform.Revision, error) {
+			_, _ = table.Commit(ctx, writes)
+			return nil, errors.New("answer lost")
+		}
+		broken.Read = func(context.Context, string) (platform.Row, error) {
+			return platform.Row{}, errors.New("store down")
+		}
+		withRegister(t, "entry-1", broken, func(first *key.Register) {
+			claim, result := first.Begin(t.Context(), use("key"))
+			assert.Assert(t, claim == nil)
+			assert.Equal(t, result.Outcome.Reason, outcome.ReasonStoreDown)
+			ask := func(ctx context.Context, entry string, request *teaselv1.KeyRequest) (*teaselv1.KeyResponse, error) {
+				assert.Equal(t, entry, request.GetEntry())
+				return first.Tell(ctx, request), nil
+			}
+			withRegister(t, "entry-2", table, func(second *key.Register) {
+				claim, _ := second.Begin(t.Context(), use("key"))
+				assert.Assert(t, claim != nil)
+				claim.Finish(done(""))
+			}, key.WithAsk(ask))
+			withRegister(t, "entry-3", table, func(third *key.Register) {
+				claim, result := third.Begin(t.Context(), use("key"))
+				assert.Assert(t, claim == nil)
+				assert.Equal(t, result.Outcome.Kind, outcome.Done)
+			}, key.WithAsk(ask))
+		})
+	})
+}
+
+// TestOldRowsAreRemoved waits until a claim's row is past its lifetime.
+func TestOldRowsAreRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var store memory.Store
+		rows := func() int {
+			all, _ := store.Scan(t.Context(), "key/")
+			return len(all)
+		}
+		withRegister(t, "entry-1", store.Platform().Table, func(register *key.Register) {
+			claim, _ := register.Begin(t.Context(), use("key"))
+			claim.Finish(done(""))
+			time.Sleep(key.RowLifetime - time.Minute)
+			assert.Equal(t, rows(), 1)
+			time.Sleep(key.RowLifetime)
+			assert.Equal(t, rows(), 0)
+		})
+	})
+}
