--- a/entry/machine.go
+++ b/entry/machine.go
@@ -75,7 +75,8 @@
 		events:   timeline.NewRing(loaded.Name, loaded.Limits.TimelineEvents, clock),
 	}
 	service := platform.NewClient(loaded.Platform, &http.Client{
-		Timeout: platformTimeout,
+		Transport: m.newTransport(),
+		Timeout:   platformTimeout,
 	}).Platform()
 	m.keeper = &configuration.Keeper{
 		Platform: service,
@@ -136,7 +137,7 @@
 	return &http.Client{
 		Transport: authenticated{
 			key:  m.settings.PeerKey,
-			next: newTransport(),
+			next: m.newTransport(),
 		},
 	}
 }
@@ -153,11 +154,10 @@
 	return a.next.RoundTrip(request)
 }
 
-func newTransport() *http.Transport {
+// newTransport returns a transport to peers, backend servers or the platform.
+func (m *machine) newTransport() *http.Transport {
 	return &http.Transport{
-		DialContext: (&net.Dialer{
-			Timeout: dialTimeout,
-		}).DialContext,
+		DialContext:           newDial(m.settings),
 		MaxIdleConnsPerHost:   idleConnections,
 		IdleConnTimeout:       time.Minute,
 		ExpectContinueTimeout: expectTimeout,
@@ -180,8 +180,8 @@
 		Quarantine:    &m.suspects,
 		Events:        m.events,
 		Metrics:       m.metrics,
-		Backends:      newTransport(),
-		Peers:         newTransport(),
+		Backends:      m.newTransport(),
+		Peers:         m.newTransport(),
 	}
 }
 
