--- a/measure/capacity/store.go
+++ b/measure/capacity/store.go
@@ -112,24 +112,23 @@
 	return calls
 }
 
-// claims counts what one caller's own key asks of the platform when it is
-// alone: its claim, and its end, which share transactions with others only when
-// there are others.
+// claims counts what one claim of a caller's own key asks of the platform.
 func claims() Calls {
 	var calls Calls
 	register := key.New(fleet.EntryName(0), 1, calls.Count((&memory.Store{}).Platform()).Table)
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	group.Go(func() { register.Run(ctx) })
+	defer group.Wait()
+	defer cancel()
 	claim, refused := register.Begin(ctx, key.Use{
 		Service: fleet.SiteName(0),
 		Key:     "offer-1",
+		Digest:  key.NewDigest([]byte("offer")),
 	})
 	if refused != nil {
 		panic("claim a measured key: " + refused.Outcome.Detail)
 	}
 	claim.Finish(key.Result{})
-	cancel()
-	group.Wait()
 	return calls
 }
