--- a/entry/dispatch/forward.go
+++ b/entry/dispatch/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"fmt"
 	"net"
 	"net/http"
@@ -17,6 +18,7 @@
 	"github.com/teaselstack/teaselstack/header"
 	"github.com/teaselstack/teaselstack/intent"
 	"github.com/teaselstack/teaselstack/outcome"
+	"github.com/teaselstack/teaselstack/timeline"
 )
 
 const (
@@ -198,6 +200,13 @@
 
 // broke makes a request a suspect.
 func (d *Dispatcher) broke(req *Request, server string) {
+	d.Events.Record(timeline.Event{
+		Kind:    "request-suspect",
+		Service: req.Service.Name,
+		Server:  server,
+		Key:     req.Key,
+		Detail:  "digest=" + hex.EncodeToString(req.Digest[:]),
+	})
 	d.Quarantine.Broke(quarantine.Digest(req.Digest), req.Service.Name, server)
 }
 
--- a/entry/key/claim.go
+++ b/entry/key/claim.go
@@ -220,7 +220,7 @@
 		ctx, cancel := context.WithTimeout(ctx, answerWait)
 		defer cancel()
 		select {
-		case <-claim.done:
+		case <-claim.ended():
 		case <-ctx.Done():
 			return &teaselv1.KeyResponse{
 				State: teaselv1.KeyState_KEY_STATE_RUNNING,
--- a/entry/key/journal.go
+++ b/entry/key/journal.go
@@ -39,9 +39,12 @@
 }
 
 const (
-	defaultCommitRate = 40
-	defaultMaxBatch   = 64
-	commitBurst       = 8
+	// storeCommitRate is what all entries together commit a second at most, of
+	// the several hundred writes that the table takes.
+	storeCommitRate = 300
+	defaultEntries  = 7
+	defaultMaxBatch = 64
+	maxCommitBurst  = 8
 	// maxCommits is how many transactions of one entry are on their way at once.
 	maxCommits = 4
 	maxUrgent  = 1024
@@ -55,15 +58,24 @@
 func newJournal(commit func(context.Context, []platform.Write) ([]platform.Revision, error)) *journal {
 	return &journal{
 		commit:   commit,
-		limiter:  rate.NewLimiter(defaultCommitRate, commitBurst),
+		limiter:  rate.NewLimiter(commitShare(defaultEntries)),
 		maxBatch: defaultMaxBatch,
 		urgent:   make(chan *pendingWrite, maxUrgent),
 		lazy:     make(chan *pendingWrite, maxLazy),
 	}
 }
 
-func (j *journal) setRate(commits float64) {
-	j.limiter.SetLimit(rate.Limit(commits))
+// commitShare returns one entry's share of the table's rate, and how many
+// commits it may make at once.
+func commitShare(entries int) (commits rate.Limit, burst int) {
+	share := float64(storeCommitRate) / float64(max(1, entries))
+	return rate.Limit(share), int(min(maxCommitBurst, max(1, share)))
+}
+
+func (j *journal) share(entries int) {
+	commits, burst := commitShare(entries)
+	j.limiter.SetLimit(commits)
+	j.limiter.SetBurst(burst)
 }
 
 // write returns the row's new revision. A *platform.ConflictError and errBusy
--- a/entry/key/key.go
+++ b/entry/key/key.go
@@ -104,11 +104,6 @@
 	return func(r *Register) { r.answers.most = most }
 }
 
-// WithCommitRate bounds the transactions a second that the register commits.
-func WithCommitRate(rate float64) Option {
-	return func(r *Register) { r.journal.setRate(rate) }
-}
-
 // WithBatch bounds the writes of one transaction; 1 turns group commit off.
 func WithBatch(most int) Option {
 	return func(r *Register) { r.journal.maxBatch = most }
@@ -143,6 +138,12 @@
 	return r.incarnation
 }
 
+// Share bounds what the register commits to an equal share of the table's rate
+// among a number of entries.
+func (r *Register) Share(entries int) {
+	r.journal.share(entries)
+}
+
 // Run writes claims to the table and removes old ones until ctx is done.
 func (r *Register) Run(ctx context.Context) {
 	var group sync.WaitGroup
@@ -270,7 +271,7 @@
 		return refuse(outcome.Elsewhere, outcome.ReasonKeyReused, "the key was used for another request")
 	}
 	select {
-	case <-c.done:
+	case <-c.ended():
 		result := c.outcome()
 		return &result
 	case <-ctx.Done():
@@ -278,6 +279,28 @@
 	}
 }
 
+// closed stands in for the channels of ended claims, which would be a large
+// part of their memory.
+var closed = make(chan struct{})
+
+func init() {
+	close(closed)
+}
+
+// ended returns a channel that is closed once the request has ended.
+func (c *Claim) ended() <-chan struct{} {
+	c.register.mu.Lock()
+	defer c.register.mu.Unlock()
+	return c.done
+}
+
+// end sets the result and wakes who waits for it. The caller holds the lock.
+func (c *Claim) end(result Result) {
+	c.result = result
+	close(c.done)
+	c.done = closed
+}
+
 // outcome returns the result of an ended claim.
 func (c *Claim) outcome() Result {
 	c.register.mu.Lock()
@@ -290,7 +313,7 @@
 func (c *Claim) Finish(result Result) {
 	r := c.register
 	r.mu.Lock()
-	c.result = result
+	c.end(result)
 	if result.Outcome.Kind == outcome.NotRun {
 		delete(r.keys, c.name)
 		r.release(c.number)
@@ -298,10 +321,10 @@
 		r.answers.add(c)
 		r.ended.push(c, time.Now().Add(r.retention))
 	}
-	close(c.done)
 	r.mu.Unlock()
 	if c.revision != "" {
 		r.recordEnd(c, result)
+		c.row, c.revision = "", ""
 	}
 }
 
@@ -311,10 +334,9 @@
 	r := c.register
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	c.result = result
+	c.end(result)
 	delete(r.keys, c.name)
 	r.release(c.number)
-	close(c.done)
 }
 
 // maxReleased bounds the numbers of released claims that are kept. A claim
--- a/entry/machine.go
+++ b/entry/machine.go
@@ -215,6 +215,7 @@
 func (m *machine) configure(next *intent.Configuration) {
 	m.slots.Configure(next)
 	m.links.Configure(next)
+	m.keys.Share(len(next.Deployment.Entries))
 	m.roster.Update(func(self *teaselv1.Member) {
 		self.ConfigurationVersion = next.Version
 		self.Stopping = m.stopping.Load() || next.EntryDraining(m.settings.Name)
