--- a/entry/dispatch/forward.go
+++ b/entry/dispatch/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"fmt"
 	"net"
 	"net/http"
@@ -17,6 +18,7 @@
 	"github.com/teaselstack/teaselstack/header"
 	"github.com/teaselstack/teaselstack/intent"
 	"github.com/teaselstack/teaselstack/outcome"
+	"github.com/teaselstack/teaselstack/timeline"
 )
 
 const (
@@ -198,6 +200,13 @@
 
 // broke makes a request a suspect.
 func (d *Dispatcher) broke(req *Request, server string) {
+	d.Events.Record(timeline.Event{
+		Kind:    "request-suspect",
+		Service: req.Service.Name,
+		Server:  server,
+		Key:     req.Key,
+		Detail:  "digest=" + hex.EncodeToString(req.Digest[:]),
+	})
 	d.Quarantine.Broke(quarantine.Digest(req.Digest), req.Service.Name, server)
 }
 
@@ -210,8 +219,12 @@
 	out := &http.Request{
 		Method: incoming.Method,
 		URL:    &target,
-		Host:   incoming.Host,
-		Header: incoming.Header.Clone(),
+		// Without a version net/http does not wait for 100 Continue.
+		Proto:      "HTTP/1.1",
+		ProtoMajor: 1,
+		ProtoMinor: 1,
+		Host:       incoming.Host,
+		Header:     incoming.Header.Clone(),
 	}
 	header.StripHopByHop(out.Header)
 	out.Header.Del("Expect")
