Slots with two seats, caps that ride on them, a queue per service

Home and deputy of a backend server follow from the configuration. A home in the server's failure domain owns all slots; its deputy takes over by evidence only. Elsewhere the slots are split and a lease moves the deputy's part.

A request no longer outlives its service's deadline when its caller names a longer one: the survivors count on that deadline.

--- a/entry/dispatch/request.go
+++ b/entry/dispatch/request.go
@@ -177,12 +177,13 @@
 }
 
 // withDeadline bounds a request by what its caller waits for, the service's
-// deadline and the entry's own limit.
+// deadline and the entry's own limit. No request outlives the service's deadline:
+// another entry that takes its backend server over counts on that.
 func (d *Dispatcher) withDeadline(req *Request) (context.Context, context.CancelFunc) {
 	timeout := time.Duration(req.Service.Deadline)
 	if text := req.incoming.Header.Get(header.TimeoutMS); text != "" {
 		if value, err := strconv.ParseInt(text, 10, 64); err == nil && value > 0 {
-			timeout = time.Duration(value) * time.Millisecond
+			timeout = min(timeout, time.Duration(value)*time.Millisecond)
 		}
 	}
 	if d.MaxDeadline > 0 {
--- a/entry/machine.go
+++ b/entry/machine.go
@@ -82,8 +82,10 @@
 		Changed:  m.configure,
 	}
 	m.slots = &slot.Ledger{
-		Entry:  loaded.Name,
-		Events: m.events,
+		Entry:     loaded.Name,
+		Events:    m.events,
+		Paired:    true,
+		Reachable: m.running,
 	}
 	m.links = &link.Shaper{
 		Region: loaded.Region,
@@ -96,7 +98,8 @@
 	m.view = &steering.View{
 		Entry:         loaded.Name,
 		Configuration: m.keeper.Current,
-		Own:           m.slots.Status,
+		Load:          m.slots.Load,
+		Loads:         m.slots.Loads,
 	}
 	m.roster = m.newRoster(clock)
 	m.view.Peer = m.roster.Peer
@@ -130,6 +133,7 @@
 		membership.WithInterval(time.Duration(m.settings.Limits.HeartbeatInterval)),
 		membership.WithTimeline(clock, m.events),
 		membership.WithPart(m.view.Part()),
+		membership.WithPart(m.slots.Part()),
 	)
 }
 
@@ -206,6 +210,17 @@
 	m.logger.Info().Str("event", "configuration-in-force").Uint64("version", next.Version).Msg("")
 }
 
+// running lists the peers that are not known to be dead.
+func (m *machine) running() []string {
+	var names []string
+	for _, peer := range m.roster.Peers() {
+		if peer.State == membership.Alive || peer.State == membership.Suspect {
+			names = append(names, peer.Member.GetName())
+		}
+	}
+	return names
+}
+
 // answerable lists the entries that look-ups may name.
 func (m *machine) answerable() []*teaselv1.Member {
 	var members []*teaselv1.Member
@@ -231,6 +246,7 @@
 	var group sync.WaitGroup
 	group.Go(func() { m.keeper.Run(background) })
 	group.Go(func() { m.roster.Run(background) })
+	group.Go(func() { m.slots.Run(background) })
 	failures := make(chan error, 3)
 	servers := []*http.Server{
 		m.newServer(m.callersHandler()),
--- a/entry/operator/operator.go
+++ b/entry/operator/operator.go
@@ -65,19 +65,30 @@
 		Service:       status.Server.Service,
 		Server:        status.Server.Name,
 		FailureDomain: status.Server.FailureDomain,
-		Role:          status.Role,
+		Role:          string(status.Role),
 		Slots:         uint32(status.Server.Slots),
 		Usable:        uint32(status.Usable),
 		InFlight:      uint32(status.InUse),
 		Draining:      status.Draining,
 		Requests:      status.Requests,
 	}
+	line.Health = health(status)
 	if !status.LastStart.IsZero() {
 		line.LastStart = timestamppb.New(status.LastStart)
 	}
 	return line
 }
 
+func health(status slot.Status) string {
+	switch {
+	case status.Failing:
+		return "failing"
+	case status.Warming:
+		return "warming"
+	}
+	return "healthy"
+}
+
 // Explain returns how a request would be decided now.
 func (s *Server) Explain(_ context.Context, request *connect.Request[teaselv1.ExplainRequest]) (*connect.Response[teaselv1.ExplainResponse], error) {
 	caller, err := netip.ParseAddr(request.Msg.GetCallerAddress())
@@ -103,7 +114,7 @@
 	for _, entry := range answer.GetEntries() {
 		response.Lookup.Entries = append(response.Lookup.Entries, entry.GetName())
 	}
-	ranked := s.View.Places(current.Service(request.Msg.GetService()), region)
+	ranked := s.View.Explain(current.Service(request.Msg.GetService()), region)
 	for _, each := range ranked {
 		response.Candidates = append(response.Candidates, candidate(each))
 	}
--- /dev/null
+++ b/entry/slot/queue_test.go
@@ -0,0 +1,218 @@
+package slot
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/teaselstack/teaselstack/intent"
+)
+
+// bench is the ledger of a deployment with one entry VM and two backend
+// servers, on the paused clock.
+type bench struct {
+	t      *testing.T
+	ledger *Ledger
+	group  sync.WaitGroup
+
+	mu    sync.Mutex
+	order []string
+}
+
+func onBench(t *testing.T, slots int, run func(b *bench)) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &bench{
+			t: t,
+			ledger: &Ledger{
+				Entry: "one",
+			},
+		}
+		b.ledger.Configure(compile(t, 1, []string{"one@north-a"}, slots, openCaps))
+		time.Sleep(time.Second)
+		run(b)
+		b.group.Wait()
+	})
+}
+
+func (b *bench) acquire(timeout time.Duration, ask Ask) (*Grant, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	return b.ledger.Acquire(ctx, ask)
+}
+
+func (b *bench) fill(count int) []*Grant {
+	var grants []*Grant
+	for range count {
+		grant, err := b.acquire(time.Minute, ask(Browse, "filler"))
+		assert.NilError(b.t, err)
+		grants = append(grants, grant)
+	}
+	return grants
+}
+
+// enter lets a request wait, hold its slot for a second and note its name.
+func (b *bench) enter(name string, ask Ask) {
+	b.group.Go(func() {
+		grant, err := b.acquire(time.Hour, ask)
+		if err != nil {
+			name += ": " + err.Error()
+		}
+		b.mu.Lock()
+		b.order = append(b.order, name)
+		b.mu.Unlock()
+		time.Sleep(time.Second)
+		if grant != nil {
+			grant.Release()
+		}
+	})
+	synctest.Wait()
+}
+
+func ask(priority Priority, caller string) Ask {
+	return Ask{
+		Service:    "desk",
+		Priority:   priority,
+		Caller:     caller,
+		FromRegion: "north",
+	}
+}
+
+func TestOrder(t *testing.T) {
+	onBench(t, 1, func(b *bench) {
+		held := b.fill(2)
+		b.enter("upload", ask(Transfer, "writer"))
+		b.enter("browse-a1", ask(Browse, "a"))
+		b.enter("browse-a2", ask(Browse, "a"))
+		b.enter("browse-b1", ask(Browse, "b"))
+		b.enter("offer", ask(Decision, "agent"))
+		held[0].Release()
+		b.group.Wait()
+		assert.DeepEqual(t, b.order, []string{"offer", "browse-a1", "browse-b1", "browse-a2", "upload"})
+		held[1].Release()
+	})
+}
+
+// TestLowPriorityIsNotStarved keeps offers waiting all the time; the upload goes
+// after maxPassedOver of them.
+func TestLowPriorityIsNotStarved(t *testing.T) {
+	onBench(t, 1, func(b *bench) {
+		held := b.fill(2)
+		b.enter("upload", ask(Transfer, "writer"))
+		for range 20 {
+			b.enter("offer", ask(Decision, "agent"))
+		}
+		held[0].Release()
+		b.group.Wait()
+		assert.Equal(t, b.order[maxPassedOver], "upload")
+		held[1].Release()
+	})
+}
+
+// TestEarlyRefusal measures a hold of one second, fills the slots and the queue,
+// and asks with a deadline that the wait would pass.
+func TestEarlyRefusal(t *testing.T) {
+	onBench(t, 1, func(b *bench) {
+		for range 3 {
+			b.enter("warm up", ask(Browse, "a"))
+		}
+		b.group.Wait()
+		for range 6 {
+			b.enter("ahead", ask(Browse, "a"))
+		}
+		before := time.Now()
+		_, err := b.acquire(2500*time.Millisecond, ask(Browse, "late"))
+		assert.ErrorIs(t, err, ErrNoRoom)
+		assert.Equal(t, time.Since(before), time.Duration(0))
+		// An offer goes ahead of them and still ends in time.
+		b.enter("offer", ask(Decision, "agent"))
+		b.group.Wait()
+		assert.Equal(t, b.order[5], "offer")
+	})
+}
+
+func TestDeadlineInQueue(t *testing.T) {
+	onBench(t, 1, func(b *bench) {
+		held := b.fill(2)
+		before := time.Now()
+		_, err := b.acquire(3*time.Second, ask(Browse, "a"))
+		assert.ErrorIs(t, err, ErrNoRoom)
+		assert.Equal(t, time.Since(before), 3*time.Second)
+		held[0].Release()
+		_, err = b.acquire(time.Second, ask(Browse, "a"))
+		assert.NilError(t, err)
+	})
+}
+
+func TestExclude(t *testing.T) {
+	onBench(t, 3, func(b *bench) {
+		excluding := ask(Browse, "a")
+		excluding.Exclude = []string{"desk-1"}
+		for range 3 {
+			grant, err := b.acquire(time.Second, excluding)
+			assert.NilError(t, err)
+			assert.Equal(t, grant.Server.Name, "desk-2")
+		}
+		_, err := b.acquire(time.Second, excluding)
+		assert.ErrorIs(t, err, ErrNoRoom)
+		excluding.Exclude = []string{"desk-1", "desk-2"}
+		_, err = b.acquire(time.Second, excluding)
+		assert.ErrorIs(t, err, ErrNoServer)
+	})
+}
+
+// TestDrain drains both backend servers while one request waits: it is refused at
+// once, and the requests in flight are not touched.
+func TestDrain(t *testing.T) {
+	onBench(t, 1, func(b *bench) {
+		held := b.fill(2)
+		b.enter("waiting", ask(Browse, "a"))
+		b.ledger.Configure(compile(t, 2, []string{"one@north-a"}, 1, openCaps, intent.Document{
+			Name:    "drains/desk.toml",
+			Content: []byte("kind = \"service-region\"\nname = \"north\"\nservice = \"desk\"\n"),
+		}))
+		synctest.Wait()
+		assert.DeepEqual(t, b.order, []string{"waiting: no backend server"})
+		held[0].Release()
+		_, err := b.acquire(time.Second, ask(Browse, "a"))
+		assert.ErrorIs(t, err, ErrNoServer)
+		held[1].Release()
+		for _, status := range b.ledger.Status() {
+			assert.Equal(t, status.InUse, 0)
+		}
+	})
+}
+
+// TestEqualCandidates spreads requests over servers with equal room.
+func TestEqualCandidates(t *testing.T) {
+	onBench(t, 3, func(b *bench) {
+		for range 10 {
+			grant, err := b.acquire(time.Second, ask(Browse, "a"))
+			assert.NilError(t, err)
+			time.Sleep(time.Millisecond)
+			grant.Release()
+		}
+		for _, status := range b.ledger.Status() {
+			assert.Equal(t, status.Requests, uint64(5))
+		}
+	})
+}
+
+func TestRamp(t *testing.T) {
+	onBench(t, 4, func(b *bench) {
+		b.ledger.Mark("desk-1", true)
+		load, _ := b.ledger.Load("desk")
+		assert.Equal(t, load.Slots, 4)
+		b.ledger.Mark("desk-1", false)
+		var usable []int
+		for range 6 {
+			load, _ = b.ledger.Load("desk")
+			usable = append(usable, load.Slots)
+			time.Sleep(time.Second)
+		}
+		assert.DeepEqual(t, usable, []int{5, 6, 7, 8, 8, 8})
+	})
+}
--- a/entry/slot/seat.go
+++ b/entry/slot/seat.go
@@ -1,58 +1,136 @@
 package slot
 
 import (
-	"cmp"
-	"slices"
-
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/teaselstack/teaselstack/intent"
 )
 
-// Home returns the name of the entry VM that owns a backend server's slots.
-func Home(configuration *intent.Configuration, server *intent.BackendServer) string {
-	home, _ := Seats(configuration, server)
-	return home
-}
-
-// Deputy returns the name of the entry VM that holds the smaller part of a
-// backend server's slots, or "" when there is a single entry VM.
-func Deputy(configuration *intent.Configuration, server *intent.BackendServer) string {
-	_, deputy := Seats(configuration, server)
-	return deputy
+// Seats names the two entry VMs that may use a backend server's slots.
+type Seats struct {
+	// Home owns the larger part of the slots.
+	Home string
+	// Deputy owns the smaller part; it is "" when there is a single entry VM.
+	Deputy string
 }
 
-// Seats returns the home and the deputy of a backend server. They depend on
-// the configuration only, never on who is alive, so that all entries agree.
+// Seating holds the seats of all backend servers of one configuration. They
+// depend on the configuration only, never on who is alive, so that all entries
+// agree.
+//
 // Entry VMs of the server's failure domain go first, then those of its region,
 // then all others; within a group the order is by rendezvous hashing, see
 // Thaler and Ravishankar, "Using Name-Based Mappings to Increase Hit Rates"
 // (1998).
-func Seats(configuration *intent.Configuration, server *intent.BackendServer) (home, deputy string) {
-	entries := slices.Clone(configuration.Deployment.Entries)
-	slices.SortFunc(entries, func(a, b intent.EntryVM) int {
-		order := cmp.Compare(distance(configuration, a, server), distance(configuration, b, server))
-		if order != 0 {
-			return order
+type Seating struct {
+	seats  map[string]Seats
+	owners map[string][]string
+}
+
+// NewSeating computes the seats of a configuration.
+func NewSeating(configuration *intent.Configuration) *Seating {
+	index := indexEntries(configuration)
+	seating := &Seating{
+		seats:  make(map[string]Seats),
+		owners: make(map[string][]string),
+	}
+	for _, service := range configuration.Services {
+		seen := make(map[string]bool)
+		for i := range service.BackendServers {
+			server := &service.BackendServers[i]
+			seats := index.seats(server)
+			seating.seats[server.Name] = seats
+			for _, name := range []string{seats.Home, seats.Deputy} {
+				if name != "" && !seen[name] {
+					seen[name] = true
+					seating.owners[service.Name] = append(seating.owners[service.Name], name)
+				}
+			}
+		}
+	}
+	return seating
+}
+
+// Of returns the seats of a backend server.
+func (s *Seating) Of(server string) Seats {
+	return s.seats[server]
+}
+
+// Owners returns the entry VMs that have a seat at a backend server of the
+// service, in the order of the servers. The caller must not change the slice.
+func (s *Seating) Owners(service string) []string {
+	return s.owners[service]
+}
+
+// Home returns the name of the entry VM that owns a backend server's slots. It
+// is for a single question; Seating answers many.
+func Home(configuration *intent.Configuration, server *intent.BackendServer) string {
+	return indexEntries(configuration).seats(server).Home
+}
+
+// entryIndex groups the entry VMs by their distance from a backend server.
+type entryIndex struct {
+	byDomain map[string][]string
+	byRegion map[string][]string
+	all      []string
+}
+
+func indexEntries(configuration *intent.Configuration) entryIndex {
+	index := entryIndex{
+		byDomain: make(map[string][]string),
+		byRegion: make(map[string][]string),
+	}
+	for _, entry := range configuration.Deployment.Entries {
+		region := configuration.RegionOf(entry.FailureDomain)
+		index.byDomain[entry.FailureDomain] = append(index.byDomain[entry.FailureDomain], entry.Name)
+		index.byRegion[region] = append(index.byRegion[region], entry.Name)
+		index.all = append(index.all, entry.Name)
+	}
+	return index
+}
+
+// seats takes the two best entry VMs, looking farther only while fewer are found.
+func (i entryIndex) seats(server *intent.BackendServer) Seats {
+	var seats Seats
+	for _, group := range [][]string{i.byDomain[server.FailureDomain], i.byRegion[server.Region], i.all} {
+		if seats.Home == "" {
+			seats.Home = heaviest(group, server.Name, "")
+		}
+		if seats.Deputy == "" {
+			seats.Deputy = heaviest(group, server.Name, seats.Home)
+		}
+		if seats.Deputy != "" {
+			break
 		}
-		return cmp.Compare(weight(b.Name, server.Name), weight(a.Name, server.Name))
-	})
-	if len(entries) > 1 {
-		deputy = entries[1].Name
 	}
-	return entries[0].Name, deputy
+	return seats
 }
 
-func distance(configuration *intent.Configuration, entry intent.EntryVM, server *intent.BackendServer) int {
-	switch {
-	case entry.FailureDomain == server.FailureDomain:
-		return 0
-	case configuration.RegionOf(entry.FailureDomain) == server.Region:
-		return 1
+// heaviest returns the entry VM with the highest weight for a server, or "".
+func heaviest(entries []string, server, except string) string {
+	best := ""
+	var highest uint64
+	for _, entry := range entries {
+		if entry == except {
+			continue
+		}
+		if weight := xxhash.Sum64String(entry + "\x00" + server); best == "" || weight > highest {
+			best = entry
+			highest = weight
+		}
 	}
-	return 2
+	return best
 }
 
-func weight(entry, server string) uint64 {
-	return xxhash.Sum64String(entry + "\x00" + server)
+// deputyShare is the divisor that gives the deputy's part of the slots.
+const deputyShare = 3
+
+// Parts splits a backend server's slots between home and deputy; the parts sum
+// to the slots. A single slot is the home's.
+func Parts(slots int) (home, deputy int) {
+	if slots < 2 {
+		return slots, 0
+	}
+	deputy = max(1, slots/deputyShare)
+	return slots - deputy, deputy
 }
--- a/entry/steering/steering.go
+++ b/entry/steering/steering.go
@@ -1,6 +1,6 @@
-// Package steering decides which home of a service's backend servers a request
-// goes to, by one objective: latency, headroom and drain time, weighed as the
-// deployment says.
+// Package steering decides which owner of a service's slots a request goes to, by
+// one objective: latency, headroom and drain time, weighed as the deployment
+// says. Requests, look-ups and explanations all use Decide.
 package steering
 
 import (
@@ -11,9 +11,9 @@
 	"github.com/teaselstack/teaselstack/intent"
 )
 
-// Place is what an entry knows of one home of a service's backend servers.
+// Place is what an entry knows of one owner of a service's slots.
 type Place struct {
-	// Home is the entry VM that owns the slots.
+	// Home is the entry VM that has the slots to give.
 	Home          string
 	Region        string
 	FailureDomain string
@@ -25,8 +25,12 @@
 	Waiting int
 	// Age is how old the figures are; 0 for the entry's own.
 	Age time.Duration
-	// Reachable is false for a home that does not answer heartbeats.
+	// Reachable is false for an entry that does not answer heartbeats.
 	Reachable bool
+	// Leaving is true for an entry that is to be drained.
+	Leaving bool
+	// Moved is true for a place in another region than the request's.
+	Moved bool
 }
 
 // Term is one weighted part of a place's cost.
@@ -36,6 +40,9 @@
 	Weight float64
 }
 
+// terms is the number of terms of a cost.
+const terms = 3
+
 // Ranked is a place with its cost; lower is better.
 type Ranked struct {
 	Place   Place
@@ -43,17 +50,27 @@
 	// Reason says why the place is not allowed.
 	Reason string
 	Cost   float64
-	Terms  []Term
+	Terms  [terms]Term
 }
 
-// latencyUnit is the delay that costs as much as a full place, at equal weights.
-const latencyUnit = 50 * time.Millisecond
+const (
+	// latencyUnit is the delay that costs as much as a full place, at equal weights.
+	latencyUnit = 50 * time.Millisecond
+	// staleLimit is the age past which a place's figures count as unknown.
+	staleLimit = 5 * time.Second
+	// equalCost is the difference of costs, as a part of all weights, below which
+	// places count as equal.
+	equalCost = 0.1
+)
 
-// Decide ranks places, best first; those that are not allowed come last.
+// Decide ranks places, best first; those that are not allowed come last. Figures
+// past their age are unknown: a place in the request's own region then counts as
+// full, one in another region is not allowed, so that old figures may stop a
+// shift but never start one.
 func Decide(objective intent.Objective, places []Place) []Ranked {
-	ranked := make([]Ranked, 0, len(places))
-	for _, place := range places {
-		ranked = append(ranked, rank(objective, place))
+	ranked := make([]Ranked, len(places))
+	for at := range places {
+		ranked[at].rank(objective, &places[at])
 	}
 	slices.SortStableFunc(ranked, func(a, b Ranked) int {
 		if a.Allowed != b.Allowed {
@@ -67,24 +84,15 @@
 	return ranked
 }
 
-func rank(objective intent.Objective, place Place) Ranked {
-	ranked := Ranked{
-		Place:   place,
-		Allowed: true,
-	}
-	switch {
-	case !place.Reachable:
-		ranked.Allowed = false
-		ranked.Reason = "unreachable"
-	case place.Slots == 0:
-		ranked.Allowed = false
-		ranked.Reason = "no slots"
-	}
-	used := 1.0
-	if place.Slots > 0 {
-		used = float64(place.InUse+place.Waiting) / float64(place.Slots)
+func (r *Ranked) rank(objective intent.Objective, place *Place) {
+	r.Place = *place
+	r.Reason = place.refusal()
+	r.Allowed = r.Reason == ""
+	leaving := 0.0
+	if place.Leaving {
+		leaving = 1
 	}
-	ranked.Terms = []Term{
+	r.Terms = [terms]Term{
 		{
 			Name:   "latency",
 			Value:  float64(place.Delay) / float64(latencyUnit),
@@ -92,12 +100,72 @@
 		},
 		{
 			Name:   "headroom",
-			Value:  used,
+			Value:  place.used(),
 			Weight: objective.Headroom,
 		},
+		{
+			Name:   "drain-time",
+			Value:  leaving,
+			Weight: objective.DrainTime,
+		},
 	}
-	for _, term := range ranked.Terms {
-		ranked.Cost += term.Value * term.Weight
+	for _, term := range r.Terms {
+		r.Cost += term.Value * term.Weight
 	}
-	return ranked
 }
+
+// refusal says why a place is not allowed, or "".
+func (p *Place) refusal() string {
+	switch {
+	case !p.Reachable:
+		return "unreachable"
+	case p.Age > staleLimit && p.Moved:
+		return "figures too old to move requests there"
+	case p.Slots == 0:
+		return "no slots"
+	case p.Moved && p.used() >= 1:
+		return "no room for requests of another region"
+	}
+	return ""
+}
+
+// used returns the part of the slots that is in use or waited for.
+func (p *Place) used() float64 {
+	if p.Slots == 0 || p.Age > staleLimit {
+		return 1
+	}
+	return max(0, float64(p.InUse+p.Waiting)/float64(p.Slots))
+}
+
+// free returns how many slots are neither in use nor waited for.
+func (p *Place) free() float64 {
+	if p.Age > staleLimit {
+		return 0
+	}
+	return max(0, float64(p.Slots-p.InUse-p.Waiting))
+}
+
+// Spread puts one of the places whose cost hardly differs from the best first,
+// drawn by their free slots with a number from 0 to 1. So entries that see the
+// same figures do not all choose the same place.
+func Spread(objective intent.Objective, ranked []Ranked, draw float64) {
+	band := equalCost * (objective.Latency + objective.Headroom + objective.DrainTime)
+	equal, sum := 0, 0.0
+	for equal < len(ranked) && ranked[equal].Allowed && ranked[equal].Cost <= ranked[0].Cost+band {
+		sum += minShare + ranked[equal].Place.free()
+		equal++
+	}
+	draw *= sum
+	for at := range equal {
+		draw -= minShare + ranked[at].Place.free()
+		if draw < 0 || at == equal-1 {
+			chosen := ranked[at]
+			copy(ranked[1:at+1], ranked[:at])
+			ranked[0] = chosen
+			return
+		}
+	}
+}
+
+// minShare is the weight of a place without a free slot in the draw, in slots.
+const minShare = 0.05
--- a/entry/steering/view.go
+++ b/entry/steering/view.go
@@ -1,7 +1,11 @@
 package steering
 
 import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	teaselv1 "github.com/teaselstack/teaselstack/api/teasel/v1"
@@ -10,19 +14,23 @@
 	"github.com/teaselstack/teaselstack/intent"
 )
 
-// View is what an entry knows of the room at all homes.
+// View is what an entry knows of the room at all owners of slots.
 type View struct {
 	// Entry is this entry's name.
 	Entry string
 	// Configuration returns the newest configuration, or nil.
 	Configuration func() *intent.Configuration
-	// Own returns the state of this entry's own backend servers.
-	Own func() []slot.Status
+	// Load returns this entry's own room for a service, Loads that for all.
+	Load  func(service string) (slot.Load, bool)
+	Loads func() []slot.Load
 	// Peer returns a peer, and whether it is known.
 	Peer func(name string) (membership.Peer, bool)
+	// Draw returns a number from 0 to 1, not 1; nil stands for a random one.
+	Draw func() float64
 
+	plan  atomic.Pointer[plan]
 	mu    sync.Mutex
-	loads map[loadKey]load
+	loads map[loadKey]*load
 }
 
 type loadKey struct {
@@ -30,11 +38,82 @@
 	service string
 }
 
+// load is a peer's report of its room for a service.
 type load struct {
 	slots    int
 	inUse    int
 	waiting  int
 	measured time.Time
+	// sent counts the requests that this entry has sent since the report, less
+	// those that ended: its own figures never lag.
+	sent int
+}
+
+// maxCandidates is how many owners are ranked for a request: the nearest, and
+// as many again while all of them are full.
+const maxCandidates = 16
+
+// plan holds what follows from a configuration alone.
+type plan struct {
+	configuration *intent.Configuration
+	// near holds the owners of a service's slots by nearness to a region.
+	near map[nearKey][]owner
+}
+
+type nearKey struct {
+	service string
+	region  string
+}
+
+type owner struct {
+	name   string
+	region string
+	domain string
+	delay  time.Duration
+	// leaving says that the entry is to be drained.
+	leaving bool
+}
+
+func newPlan(configuration *intent.Configuration) *plan {
+	next := &plan{
+		configuration: configuration,
+		near:          make(map[nearKey][]owner),
+	}
+	seating := slot.NewSeating(configuration)
+	for _, service := range configuration.Services {
+		for _, region := range configuration.Deployment.Regions {
+			next.near[nearKey{
+				service: service.Name,
+				region:  region.Name,
+			}] = nearest(configuration, seating.Owners(service.Name), region.Name)
+		}
+	}
+	return next
+}
+
+func nearest(configuration *intent.Configuration, names []string, region string) []owner {
+	owners := make([]owner, 0, len(names))
+	for _, name := range names {
+		domain := configuration.Entry(name).FailureDomain
+		home := configuration.RegionOf(domain)
+		owners = append(owners, owner{
+			name:    name,
+			region:  home,
+			domain:  domain,
+			delay:   configuration.Delay(region, home),
+			leaving: configuration.EntryDraining(name),
+		})
+	}
+	slices.SortStableFunc(owners, func(a, b owner) int {
+		if (a.region == region) != (b.region == region) {
+			if a.region == region {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.delay, b.delay)
+	})
+	return owners
 }
 
 // Part returns the view's news for the heartbeats.
@@ -57,13 +136,13 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.loads == nil {
-		v.loads = make(map[loadKey]load)
+		v.loads = make(map[loadKey]*load)
 	}
 	for _, each := range loads {
 		v.loads[loadKey{
 			home:    home,
 			service: each.GetService(),
-		}] = load{
+		}] = &load{
 			slots:    int(each.GetSlots()),
 			inUse:    int(each.GetInFlight()),
 			waiting:  int(each.GetWaiting()),
@@ -73,71 +152,115 @@
 }
 
 func (v *View) ownLoads() []*teaselv1.RegionLoad {
-	byService := make(map[string]*teaselv1.RegionLoad)
 	var loads []*teaselv1.RegionLoad
-	for _, status := range v.Own() {
-		sum := byService[status.Server.Service]
-		if sum == nil {
-			sum = &teaselv1.RegionLoad{
-				Service:       status.Server.Service,
-				FailureDomain: status.Server.FailureDomain,
-			}
-			byService[status.Server.Service] = sum
-			loads = append(loads, sum)
-		}
-		if !status.Draining {
-			sum.Slots += uint32(status.Usable)
-			sum.InFlight += uint32(status.InUse)
-		}
+	for _, own := range v.Loads() {
+		loads = append(loads, &teaselv1.RegionLoad{
+			Service:       own.Service,
+			FailureDomain: own.FailureDomain,
+			Slots:         uint32(own.Slots),
+			InFlight:      uint32(own.InUse),
+			Waiting:       uint32(own.Waiting),
+		})
 	}
 	return loads
 }
 
-// Places ranks the homes of a service as a region sees them.
+// Track counts a request that is sent to an owner until the returned function is
+// called, which must be once.
+func (v *View) Track(home, service string) (done func()) {
+	key := loadKey{
+		home:    home,
+		service: service,
+	}
+	v.count(key, 1)
+	return func() { v.count(key, -1) }
+}
+
+func (v *View) count(key loadKey, change int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if known := v.loads[key]; known != nil {
+		known.sent += change
+	}
+}
+
+// Places ranks the owners of a service's slots for a request of a region, spread
+// over those that are equally good.
 func (v *View) Places(service *intent.Service, region string) []Ranked {
 	configuration := v.Configuration()
 	if configuration == nil {
 		return nil
 	}
-	var places []Place
-	seen := make(map[string]bool)
-	for i := range service.BackendServers {
-		server := &service.BackendServers[i]
-		home := slot.Home(configuration, server)
-		if !seen[home] {
-			seen[home] = true
-			places = append(places, v.place(configuration, service, home, region))
+	ranked := v.Explain(service, region)
+	draw := rand.Float64
+	if v.Draw != nil {
+		draw = v.Draw
+	}
+	Spread(configuration.Deployment.Objective, ranked, draw())
+	return ranked
+}
+
+// Explain ranks the owners as Places does, without the spread.
+func (v *View) Explain(service *intent.Service, region string) []Ranked {
+	configuration := v.Configuration()
+	if configuration == nil || service == nil {
+		return nil
+	}
+	current := v.plan.Load()
+	if current == nil || current.configuration != configuration {
+		current = newPlan(configuration)
+		v.plan.Store(current)
+	}
+	owners := current.near[nearKey{
+		service: service.Name,
+		region:  region,
+	}]
+	places := make([]Place, 0, min(len(owners), maxCandidates))
+	room := false
+	for _, each := range owners {
+		if len(places) >= maxCandidates && room {
+			break
 		}
+		place := v.place(service, each, region)
+		room = room || place.refusal() == "" && place.free() > 0
+		places = append(places, place)
 	}
 	return Decide(configuration.Deployment.Objective, places)
 }
 
-func (v *View) place(configuration *intent.Configuration, service *intent.Service, home, region string) Place {
-	domain := configuration.Entry(home).FailureDomain
+// relayDelay is what the way through another entry of the region costs.
+const relayDelay = time.Millisecond
+
+func (v *View) place(service *intent.Service, owner owner, region string) Place {
 	place := Place{
-		Home:          home,
-		Region:        configuration.RegionOf(domain),
-		FailureDomain: domain,
-		Reachable:     home == v.Entry,
-	}
-	place.Delay = configuration.Delay(region, place.Region)
-	if peer, known := v.Peer(home); known {
-		place.Reachable = peer.State == membership.Alive && !peer.Member.GetStopping()
+		Home:          owner.name,
+		Region:        owner.region,
+		FailureDomain: owner.domain,
+		Delay:         owner.delay,
+		Leaving:       owner.leaving,
+		Moved:         owner.region != region,
 	}
-	if home == v.Entry {
-		v.learn(home, v.ownLoads())
+	if owner.name == v.Entry {
+		own, _ := v.Load(service.Name)
+		place.Reachable = true
+		place.Slots = own.Slots
+		place.InUse = own.InUse
+		place.Waiting = own.Waiting
+		return place
 	}
+	place.Delay += relayDelay
+	peer, known := v.Peer(owner.name)
+	place.Reachable = known && peer.State == membership.Alive && !peer.Member.GetStopping()
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	known, reported := v.loads[loadKey{
-		home:    home,
+	if report := v.loads[loadKey{
+		home:    owner.name,
 		service: service.Name,
-	}]
-	if reported {
-		place.Slots = known.slots
-		place.InUse = known.inUse
-		place.Waiting = known.waiting
-		place.Age = time.Since(known.measured)
+	}]; report != nil {
+		place.Slots = report.slots
+		place.InUse = max(0, report.inUse+report.sent)
+		place.Waiting = report.waiting
+		place.Age = time.Since(report.measured)
 	}
 	return place
 }
--- a/intent/intent.go
+++ b/intent/intent.go
@@ -90,7 +90,7 @@
 type Service struct {
 	Name  string `toml:"name"`
 	Class Class  `toml:"class"`
-	// Deadline bounds a request whose caller names none.
+	// Deadline bounds every request; a caller may name a shorter one.
 	Deadline document.Duration `toml:"deadline"`
 	// Ramp is how long a cold backend server takes to its full slots.
 	Ramp           document.Duration `toml:"ramp"`
