--- a/entry/machine.go
+++ b/entry/machine.go
@@ -47,6 +47,7 @@
 	links      *link.Shaper
 	view       *steering.View
 	keys       *key.Register
+	suspects   quarantine.List
 	dispatcher *dispatch.Dispatcher
 	lookups    *lookup.Server
 }
@@ -74,7 +75,8 @@
 		events:   timeline.NewRing(loaded.Name, loaded.Limits.TimelineEvents, clock),
 	}
 	service := platform.NewClient(loaded.Platform, &http.Client{
-		Timeout: platformTimeout,
+		Transport: m.newTransport(),
+		Timeout:   platformTimeout,
 	}).Platform()
 	m.keeper = &configuration.Keeper{
 		Platform: service,
@@ -90,11 +92,7 @@
 	m.links = &link.Shaper{
 		Region: loaded.Region,
 	}
-	m.keys = &key.Register{
-		Entry:       loaded.Name,
-		Incarnation: uint64(started.UnixNano()),
-		Table:       service.Table,
-	}
+	m.keys = key.New(loaded.Name, uint64(started.UnixNano()), service.Table, m.keyOptions()...)
 	m.view = &steering.View{
 		Entry:         loaded.Name,
 		Configuration: m.keeper.Current,
@@ -118,7 +116,7 @@
 	client := m.peerClient()
 	self := &teaselv1.Member{
 		Name:            m.settings.Name,
-		Incarnation:     m.keys.Incarnation,
+		Incarnation:     m.keys.Incarnation(),
 		Region:          m.settings.Region,
 		FailureDomain:   m.settings.FailureDomain,
 		CallerAddress:   m.settings.CallersAddress,
@@ -134,6 +132,7 @@
 		membership.WithTimeline(clock, m.events),
 		membership.WithPart(m.view.Part()),
 		membership.WithPart(m.slots.Part()),
+		membership.WithPart(m.suspects.Part()),
 	)
 }
 
@@ -142,7 +141,7 @@
 	return &http.Client{
 		Transport: authenticated{
 			key:  m.settings.PeerKey,
-			next: newTransport(),
+			next: m.newTransport(),
 		},
 	}
 }
@@ -159,11 +158,10 @@
 	return a.next.RoundTrip(request)
 }
 
-func newTransport() *http.Transport {
+// newTransport returns a transport to peers, backend servers or the platform.
+func (m *machine) newTransport() *http.Transport {
 	return &http.Transport{
-		DialContext: (&net.Dialer{
-			Timeout: dialTimeout,
-		}).DialContext,
+		DialContext:           newDial(m.settings),
 		MaxIdleConnsPerHost:   idleConnections,
 		IdleConnTimeout:       time.Minute,
 		ExpectContinueTimeout: expectTimeout,
@@ -183,12 +181,30 @@
 		Slots:         m.slots,
 		Links:         m.links,
 		Keys:          m.keys,
-		Quarantine:    &quarantine.List{},
+		Quarantine:    &m.suspects,
 		Events:        m.events,
 		Metrics:       m.metrics,
-		Backends:      newTransport(),
-		Peers:         newTransport(),
+		Backends:      m.newTransport(),
+		Peers:         m.newTransport(),
+	}
+}
+
+// keyOptions lets the register of keys ask other claimants.
+func (m *machine) keyOptions() []key.Option {
+	client := m.peerClient()
+	options := []key.Option{
+		key.WithAsk(func(ctx context.Context, entry string, request *teaselv1.KeyRequest) (*teaselv1.KeyResponse, error) {
+			address := m.peerAddress(entry)
+			if address == "" {
+				return nil, errors.Errorf("ask entry %s for a key: unknown entry", entry)
+			}
+			return teaselv1.NewPeerServiceProtobufClient("http://"+address, client).Key(ctx, request)
+		}),
 	}
+	if longest := time.Duration(m.settings.Limits.MaxDeadline); longest > 0 {
+		options = append(options, key.WithMaxDeadline(longest))
+	}
+	return options
 }
 
 func (m *machine) peerAddress(name string) string {
@@ -247,6 +263,7 @@
 	group.Go(func() { m.keeper.Run(background) })
 	group.Go(func() { m.roster.Run(background) })
 	group.Go(func() { m.slots.Run(background) })
+	group.Go(func() { m.keys.Run(background) })
 	failures := make(chan error, 3)
 	servers := []*http.Server{
 		m.newServer(m.callersHandler()),
@@ -396,8 +413,6 @@
 }
 
 // Key says what became of a key.
-func (p peerServer) Key(context.Context, *teaselv1.KeyRequest) (*teaselv1.KeyResponse, error) {
-	return &teaselv1.KeyResponse{
-		State: "unknown",
-	}, nil
+func (p peerServer) Key(ctx context.Context, request *teaselv1.KeyRequest) (*teaselv1.KeyResponse, error) {
+	return p.machine.keys.Tell(ctx, request), nil
 }
--- a/entry/slot/slot.go
+++ b/entry/slot/slot.go
@@ -44,6 +44,10 @@
 	priorities = iota
 )
 
+// settleTime is how long after a request's deadline its backend server, which
+// counts the deadline from the arrival, is surely done with it.
+const settleTime = time.Second
+
 // Role is the seat of this entry at a backend server.
 type Role string
 
@@ -231,7 +235,7 @@
 	known.role = role
 	known.part = part
 	// Work that began under a longer deadline may still run.
-	known.deadline = max(known.deadline, time.Duration(service.Deadline))
+	known.deadline = max(known.deadline, time.Duration(service.Deadline)+settleTime)
 	known.ramp = time.Duration(service.Ramp)
 	known.draining = configuration.Draining(backend)
 	known.takeable = configuration.Entry(seats.Home).FailureDomain == backend.FailureDomain
