--- a/entry/dispatch/dispatch.go
+++ b/entry/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/teaselstack/teaselstack/entry/health"
 	"github.com/teaselstack/teaselstack/entry/key"
 	"github.com/teaselstack/teaselstack/entry/link"
 	"github.com/teaselstack/teaselstack/entry/quarantine"
@@ -40,6 +41,12 @@
 	// PeerAddress returns a peer's address, or "" for an unknown one.
 	PeerAddress func(entry string) string
 
+	// Observe is told what requests tell of backend servers' health; it may be nil.
+	Observe func(server *intent.BackendServer, sign health.Sign)
+	// Track counts a request that is sent to a peer until the returned function is
+	// called; it may be nil.
+	Track func(home, service string) (done func())
+
 	Slots      *slot.Ledger
 	Links      *link.Shaper
 	Keys       *key.Register
--- a/entry/dispatch/forward.go
+++ b/entry/dispatch/forward.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/teaselstack/teaselstack/entry/health"
 	"github.com/teaselstack/teaselstack/entry/quarantine"
 	"github.com/teaselstack/teaselstack/entry/slot"
 	"github.com/teaselstack/teaselstack/header"
@@ -49,6 +50,7 @@
 		return refused(out)
 	}
 	ans := d.forward(ctx, req, grant.Server)
+	d.observe(req, grant.Server, ans.outcome)
 	if ans.response == nil {
 		free(ans.outcome)
 		return ans
@@ -61,6 +63,28 @@
 	return ans
 }
 
+// observe tells the health of a backend server from the end of one attempt.
+func (d *Dispatcher) observe(req *Request, server *intent.BackendServer, end outcome.Outcome) {
+	if d.Observe == nil {
+		return
+	}
+	switch end.Reason {
+	case outcome.ReasonConnect:
+		d.Observe(server, health.Unconnected)
+	case outcome.ReasonShed:
+		d.Observe(server, health.Shed)
+	case outcome.ReasonBroken:
+		d.Observe(server, health.Broken)
+	case outcome.ReasonDeadline:
+		// A caller's short timeout says nothing of the server.
+		if time.Since(req.arrived) >= time.Duration(req.Service.Deadline)/2 {
+			d.Observe(server, health.Broken)
+		}
+	case "":
+		d.Observe(server, health.Answered)
+	}
+}
+
 // acquire takes a slot. A suspect gets none on a backend server that runs
 // another suspect.
 func (d *Dispatcher) acquire(ctx context.Context, req *Request, excluded []string) (*slot.Grant, func(), outcome.Outcome) {
--- a/entry/dispatch/route.go
+++ b/entry/dispatch/route.go
@@ -67,7 +67,21 @@
 	if place.Home == d.Entry {
 		return d.serveLocally(ctx, req, excluded)
 	}
-	return d.relayToHome(ctx, req, place, excluded)
+	if d.Track == nil {
+		return d.relayToHome(ctx, req, place, excluded)
+	}
+	done := d.Track(place.Home, req.Service.Name)
+	ans := d.relayToHome(ctx, req, place, excluded)
+	if ans.response == nil {
+		done()
+		return ans
+	}
+	release := ans.release
+	ans.release = func(end outcome.Outcome) {
+		release(end)
+		done()
+	}
+	return ans
 }
 
 // mayRetry reports whether a request without an answer may be tried elsewhere:
--- a/entry/machine.go
+++ b/entry/machine.go
@@ -18,6 +18,7 @@
 	"github.com/teaselstack/teaselstack/api/teasel/v1/teaselv1connect"
 	"github.com/teaselstack/teaselstack/entry/configuration"
 	"github.com/teaselstack/teaselstack/entry/dispatch"
+	"github.com/teaselstack/teaselstack/entry/health"
 	"github.com/teaselstack/teaselstack/entry/key"
 	"github.com/teaselstack/teaselstack/entry/link"
 	"github.com/teaselstack/teaselstack/entry/lookup"
@@ -44,6 +45,7 @@
 	keeper     *configuration.Keeper
 	roster     *membership.Roster
 	slots      *slot.Ledger
+	health     *health.Watch
 	links      *link.Shaper
 	view       *steering.View
 	keys       *key.Register
@@ -89,6 +91,13 @@
 		Paired:    true,
 		Reachable: m.running,
 	}
+	m.health = &health.Watch{
+		Probe:  health.HTTPProbe(m.newTransport()),
+		Mark:   m.slots.Mark,
+		Reach:  m.slots.Reach,
+		Silent: m.slots.Silent,
+		Events: m.events,
+	}
 	m.links = &link.Shaper{
 		Region: loaded.Region,
 	}
@@ -178,6 +187,8 @@
 		Configuration: m.keeper.Current,
 		Places:        m.view.Places,
 		PeerAddress:   m.peerAddress,
+		Observe:       m.health.Observe,
+		Track:         m.view.Track,
 		Slots:         m.slots,
 		Links:         m.links,
 		Keys:          m.keys,
@@ -218,6 +229,7 @@
 // configure takes a new configuration over in all parts.
 func (m *machine) configure(next *intent.Configuration) {
 	m.slots.Configure(next)
+	m.health.Configure(next)
 	m.links.Configure(next)
 	m.roster.Update(func(self *teaselv1.Member) {
 		self.ConfigurationVersion = next.Version
@@ -263,6 +275,7 @@
 	group.Go(func() { m.keeper.Run(background) })
 	group.Go(func() { m.roster.Run(background) })
 	group.Go(func() { m.slots.Run(background) })
+	group.Go(func() { m.health.Run(background) })
 	group.Go(func() { m.keys.Run(background) })
 	failures := make(chan error, 3)
 	servers := []*http.Server{
