--- a/entry/machine.go
+++ b/entry/machine.go
@@ -18,6 +18,7 @@
 	"github.com/teaselstack/teaselstack/api/teasel/v1/teaselv1connect"
 	"github.com/teaselstack/teaselstack/entry/configuration"
 	"github.com/teaselstack/teaselstack/entry/dispatch"
+	"github.com/teaselstack/teaselstack/entry/health"
 	"github.com/teaselstack/teaselstack/entry/key"
 	"github.com/teaselstack/teaselstack/entry/link"
 	"github.com/teaselstack/teaselstack/entry/lookup"
@@ -44,6 +45,7 @@
 	keeper     *configuration.Keeper
 	roster     *membership.Roster
 	slots      *slot.Ledger
+	health     *health.Watch
 	links      *link.Shaper
 	view       *steering.View
 	keys       *key.Register
@@ -84,7 +86,16 @@
 		Changed:  m.configure,
 	}
 	m.slots = &slot.Ledger{
-		Entry:  loaded.Name,
+		Entry:     loaded.Name,
+		Events:    m.events,
+		Paired:    true,
+		Reachable: m.running,
+	}
+	m.health = &health.Watch{
+		Probe:  health.HTTPProbe(m.newTransport()),
+		Mark:   m.slots.Mark,
+		Reach:  m.slots.Reach,
+		Silent: m.slots.Silent,
 		Events: m.events,
 	}
 	m.links = &link.Shaper{
@@ -94,7 +105,8 @@
 	m.view = &steering.View{
 		Entry:         loaded.Name,
 		Configuration: m.keeper.Current,
-		Own:           m.slots.Status,
+		Load:          m.slots.Load,
+		Loads:         m.slots.Loads,
 	}
 	m.roster = m.newRoster(clock)
 	m.view.Peer = m.roster.Peer
@@ -128,6 +140,7 @@
 		membership.WithInterval(time.Duration(m.settings.Limits.HeartbeatInterval)),
 		membership.WithTimeline(clock, m.events),
 		membership.WithPart(m.view.Part()),
+		membership.WithPart(m.slots.Part()),
 		membership.WithPart(m.suspects.Part()),
 	)
 }
@@ -174,6 +187,8 @@
 		Configuration: m.keeper.Current,
 		Places:        m.view.Places,
 		PeerAddress:   m.peerAddress,
+		Observe:       m.health.Observe,
+		Track:         m.view.Track,
 		Slots:         m.slots,
 		Links:         m.links,
 		Keys:          m.keys,
@@ -214,6 +229,7 @@
 // configure takes a new configuration over in all parts.
 func (m *machine) configure(next *intent.Configuration) {
 	m.slots.Configure(next)
+	m.health.Configure(next)
 	m.links.Configure(next)
 	m.keys.Share(len(next.Deployment.Entries))
 	m.roster.Update(func(self *teaselv1.Member) {
@@ -223,6 +239,17 @@
 	m.logger.Info().Str("event", "configuration-in-force").Uint64("version", next.Version).Msg("")
 }
 
+// running lists the peers that are not known to be dead.
+func (m *machine) running() []string {
+	var names []string
+	for _, peer := range m.roster.Peers() {
+		if peer.State == membership.Alive || peer.State == membership.Suspect {
+			names = append(names, peer.Member.GetName())
+		}
+	}
+	return names
+}
+
 // answerable lists the entries that look-ups may name.
 func (m *machine) answerable() []*teaselv1.Member {
 	var members []*teaselv1.Member
@@ -248,6 +275,8 @@
 	var group sync.WaitGroup
 	group.Go(func() { m.keeper.Run(background) })
 	group.Go(func() { m.roster.Run(background) })
+	group.Go(func() { m.slots.Run(background) })
+	group.Go(func() { m.health.Run(background) })
 	group.Go(func() { m.keys.Run(background) })
 	failures := make(chan error, 3)
 	servers := []*http.Server{
