--- a/measure/capacity/configuration.go
+++ b/measure/capacity/configuration.go
@@ -163,8 +163,8 @@
 }
 
 // Publishing counts what one publication asks of the platform.
-func Publishing() Calls {
-	var calls Calls
+func Publishing() *Calls {
+	calls := &Calls{}
 	store := calls.Count((&memory.Store{}).Platform())
 	publisher := &publication.Publisher{
 		Platform: store,
--- a/measure/capacity/process_test.go
+++ b/measure/capacity/process_test.go
@@ -62,9 +62,7 @@
 // entryMemory returns the resident bytes of an entry that has a configuration
 // of a size in force.
 func entryMemory(t *testing.T, program string, size fleet.Size) int64 {
-	server := httptest.NewServer(&store.Server{
-		Store: &memory.Store{},
-	})
+	server := httptest.NewServer(store.New(&memory.Store{}))
 	defer server.Close()
 	publisher := &publication.Publisher{
 		Platform: platform.NewClient(server.URL, server.Client()).Platform(),
--- a/measure/capacity/store.go
+++ b/measure/capacity/store.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 
 	"github.com/teaselstack/teaselstack/entry/key"
 	"github.com/teaselstack/teaselstack/measure/fleet"
@@ -12,6 +14,8 @@
 
 // Calls counts calls to the platform.
 type Calls struct {
+	mu sync.Mutex
+
 	Reads   int
 	Commits int
 	Gets    int
@@ -21,43 +25,53 @@
 }
 
 func (c *Calls) reset() {
-	*c = Calls{}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.Reads, c.Commits, c.Gets, c.Puts, c.Bytes = 0, 0, 0, 0, 0
+}
+
+func (c *Calls) add(counter *int, more int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	*counter += more
 }
 
 // Count returns a platform that counts its calls and hands them on.
 func (c *Calls) Count(next platform.Platform) platform.Platform {
 	counted := next
 	counted.Table.Read = func(ctx context.Context, row string) (platform.Row, error) {
-		c.Reads++
+		c.add(&c.Reads, 1)
 		return next.Table.Read(ctx, row)
 	}
 	counted.Table.Scan = func(ctx context.Context, prefix string) ([]platform.Row, error) {
-		c.Reads++
+		c.add(&c.Reads, 1)
 		return next.Table.Scan(ctx, prefix)
 	}
 	counted.Table.Commit = func(ctx context.Context, writes []platform.Write) ([]platform.Revision, error) {
-		c.Commits++
+		c.add(&c.Commits, 1)
 		return next.Table.Commit(ctx, writes)
 	}
 	counted.Objects.Get = func(ctx context.Context, name string) ([]byte, error) {
-		c.Gets++
+		c.add(&c.Gets, 1)
 		content, err := next.Objects.Get(ctx, name)
-		c.Bytes += len(content)
+		c.add(&c.Bytes, len(content))
 		return content, err
 	}
 	counted.Objects.Put = func(ctx context.Context, name string, content []byte) error {
-		c.Puts++
-		c.Bytes += len(content)
+		c.add(&c.Puts, 1)
+		c.add(&c.Bytes, len(content))
 		return next.Objects.Put(ctx, name, content)
 	}
 	return counted
 }
 
+// commitsPerEntry is the journal's default bound, a second.
+const commitsPerEntry = 40
+
 // Store works out the load on the platform from counted calls.
 func Store() []Row {
 	publishing := Publishing()
 	polling := polls()
-	claiming := claims()
 	changes := func(nodes float64) float64 { return ChangesPerSecond * nodes / float64(fleet.Target().Nodes) }
 	return []Row{
 		storeRow("table reads by entries that look for a new version", StoreReads, "1 poll a second a node, counted", func(nodes float64) float64 {
@@ -69,9 +83,10 @@
 		storeRow("table writes by publishing", StoreWrites, "counted for one publication", func(nodes float64) float64 {
 			return changes(nodes) * float64(publishing.Commits)
 		}),
-		storeRow("table writes by callers' own keys", StoreWrites, "counted for one key; one request with a key a second a node", func(nodes float64) float64 {
-			return nodes * float64(claiming.Commits)
+		storeRow("most transactions by callers' own keys", StoreWrites, "each entry's journal may commit 40 a second", func(nodes float64) float64 {
+			return nodes * commitsPerEntry
 		}),
+		Claims(),
 	}
 }
 
@@ -103,26 +118,54 @@
 }
 
 // polls counts what one look for a new version asks of the platform.
-func polls() Calls {
-	var calls Calls
+func polls() *Calls {
+	calls := &Calls{}
 	keeper := NewKeeper(fleet.Hundredth().Documents())
 	keeper.Platform = calls.Count((&memory.Store{}).Platform())
 	_ = keeper.Poll(context.Background())
 	return calls
 }
 
-// claims counts what one claim of a caller's own key asks of the platform.
-func claims() Calls {
-	var calls Calls
-	register := &key.Register{
-		Entry:       fleet.EntryName(0),
-		Incarnation: 1,
-		Table:       calls.Count((&memory.Store{}).Platform()).Table,
-	}
-	claim, refused := register.Begin(context.Background(), fleet.SiteName(0), "offer-1", "digest")
-	if refused != nil {
-		panic("claim a measured key: " + refused.Outcome.Detail)
+// claims counts what keys that are claimed at the same time ask of the
+// platform: their claims, and the outcomes written behind them.
+func claims(keys int) *Calls {
+	calls := &Calls{}
+	ctx, cancel := context.WithCancel(context.Background())
+	register := key.New(fleet.EntryName(0), 1, calls.Count((&memory.Store{}).Platform()).Table)
+	var requests, running sync.WaitGroup
+	for i := range keys {
+		requests.Go(func() {
+			claim, refused := register.Begin(ctx, key.Use{
+				Service: fleet.SiteName(0),
+				Key:     fmt.Sprintf("offer-%d", i),
+				First:   true,
+			})
+			if refused != nil {
+				panic("claim a measured key: " + refused.Outcome.Detail)
+			}
+			claim.Finish(key.Result{})
+		})
 	}
-	claim.Finish(key.Result{})
+	running.Go(func() { register.Run(ctx) })
+	requests.Wait()
+	cancel()
+	running.Wait()
 	return calls
 }
+
+// Claims measures how many transactions keys take that are claimed at once.
+func Claims() Row {
+	row := Row{
+		Quantity: "transactions for callers' own keys claimed at once at one entry",
+		Unit:     "",
+		Grows:    "keys",
+		Target:   256,
+	}
+	for _, keys := range []int{1, 16, 256} {
+		row.Points = append(row.Points, slope.Point{
+			Size:  float64(keys),
+			Value: float64(claims(keys).Commits),
+		})
+	}
+	return row
+}
