--- a/measure/proof/result.go
+++ b/measure/proof/result.go
@@ -85,7 +85,7 @@
 	for _, row := range t.Rows {
 		fmt.Fprintf(&text, "%s\n", row.Promise)
 		for i, cell := range row.Cells {
-			fmt.Fprintf(&text, "  %-24s %s\n", t.Faults[i], describe(cell, results))
+			fmt.Fprintf(&text, "  %-26s %s\n", t.Faults[i], describe(cell, results))
 			switch {
 			case cell.Gap != "":
 				open++
