--- a/entry/dispatch/dispatch.go
+++ b/entry/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/teaselstack/teaselstack/entry/health"
 	"github.com/teaselstack/teaselstack/entry/key"
 	"github.com/teaselstack/teaselstack/entry/link"
 	"github.com/teaselstack/teaselstack/entry/quarantine"
@@ -40,6 +41,12 @@
 	// PeerAddress returns a peer's address, or "" for an unknown one.
 	PeerAddress func(entry string) string
 
+	// Observe is told what requests tell of backend servers' health; it may be nil.
+	Observe func(server *intent.BackendServer, sign health.Sign)
+	// Track counts a request that is sent to a peer until the returned function is
+	// called; it may be nil.
+	Track func(home, service string) (done func())
+
 	Slots      *slot.Ledger
 	Links      *link.Shaper
 	Keys       *key.Register
@@ -61,6 +68,8 @@
 type answer struct {
 	response *http.Response
 	outcome  outcome.Outcome
+	// stated is set on an outcome that a peer stated.
+	stated bool
 	// server is the backend server that was tried, "" when none was.
 	server string
 	// release gives back what the response holds, told how its copying ended;
--- a/intent/intent.go
+++ b/intent/intent.go
@@ -90,7 +90,7 @@
 type Service struct {
 	Name  string `toml:"name"`
 	Class Class  `toml:"class"`
-	// Deadline bounds a request whose caller names none.
+	// Deadline bounds every request; a caller may name a shorter one.
 	Deadline document.Duration `toml:"deadline"`
 	// ServiceTime is how long a request usually holds its slot; 0 where it is
 	// not known, which leaves out the checks that need it.
--- a/measure/capacity/lookups.go
+++ b/measure/capacity/lookups.go
@@ -111,7 +111,8 @@
 	view := &steering.View{
 		Entry:         fleet.EntryName(0),
 		Configuration: current,
-		Own:           func() []slot.Status { return nil },
+		Load:          func(string) (slot.Load, bool) { return slot.Load{}, false },
+		Loads:         func() []slot.Load { return nil },
 		Peer:          roster.Peer,
 	}
 	part := view.Part()
--- a/measure/fleet/fleet.go
+++ b/measure/fleet/fleet.go
@@ -20,6 +20,9 @@
 	Blocks         int
 }
 
+// openRate is a cap, in requests a second, that no measurement reaches.
+const openRate = 500_000_000
+
 // Today returns the size of one of the first deployments.
 func Today() Size {
 	return Size{
@@ -121,7 +124,7 @@
 		region := s.domainOf(site, i) % s.Regions
 		if !regions[region] {
 			regions[region] = true
-			fmt.Fprintf(&text, "[[region]]\nname = \"%s\"\nmax-rate = %d\nshift-rate = 30\n", RegionName(region), 500+revision)
+			fmt.Fprintf(&text, "[[region]]\nname = \"%s\"\nmax-rate = %d\nshift-rate = 30\n", RegionName(region), openRate+revision)
 		}
 	}
 	for i := range s.ServersPerSite {
