A hanging head row holds a poll up 3 s, not 10 s; in-force times measured

The deltas behind the head have their own bound of a minute: a cold start on a slow store reads up to 64 of them. The golden file that held only constants is gone; the bound of 5 s on all seven entries is asserted as before, now over 20 versions in place of one.

--- a/entry/configuration/configuration_test.go
+++ b/entry/configuration/configuration_test.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
-	"gotest.tools/v3/golden"
 
 	teaselv1 "github.com/teaselstack/teaselstack/api/teasel/v1"
 	"github.com/teaselstack/teaselstack/intent"
@@ -20,6 +18,10 @@
 // inForceBound is how long a change may take to be in force on all entries.
 const inForceBound = 5 * time.Second
 
+// inForceRounds is how many versions are published at different moments of the
+// entries' polls and heartbeats.
+const inForceRounds = 20
+
 func all(version uint64) []uint64 {
 	return slices.Repeat([]uint64{version}, entryCount)
 }
@@ -54,30 +56,40 @@
 		{
 			name: "store-down-once-one-entry-has-it",
 			after: func(f *fleet) {
-				for slices.Max(f.versions()) == 1 {
+				for before := slices.Min(f.versions()); slices.Max(f.versions()) == before; {
 					time.Sleep(time.Millisecond)
 				}
 				f.set(func() { f.down = true })
 			},
 		},
 	}
-	var report string
 	for _, test := range cases {
-		paused(t, func(t *testing.T, f *fleet) {
-			if test.prepare != nil {
-				f.set(func() { test.prepare(f) })
-			}
-			accepted := time.Now()
-			f.publish(t, 2)
-			if test.after != nil {
-				test.after(f)
-			}
-			time.Sleep(inForceBound - time.Since(accepted))
-			assert.DeepEqual(t, f.versions(), all(2))
-			report += fmt.Sprintf("%s: in force on %d of %d entries within %s\n", test.name, len(all(2)), entryCount, inForceBound)
+		t.Run(test.name, func(t *testing.T) {
+			paused(t, func(t *testing.T, f *fleet) {
+				if test.prepare != nil {
+					f.set(func() { test.prepare(f) })
+				}
+				var took []time.Duration
+				for round := range inForceRounds {
+					version := uint64(round + 2)
+					time.Sleep(time.Duration(round) * 137 * time.Millisecond)
+					accepted := time.Now()
+					f.publish(t, int(version))
+					if test.after != nil {
+						test.after(f)
+					}
+					time.Sleep(inForceBound - time.Since(accepted))
+					assert.DeepEqual(t, f.versions(), all(version))
+					took = append(took, f.took(version, accepted)...)
+					f.set(func() { f.down = false })
+					time.Sleep(inForceBound)
+				}
+				slices.Sort(took)
+				t.Logf("in force after: p50 %s, max %s (%d entries, %d versions)",
+					took[len(took)/2].Round(time.Millisecond), took[len(took)-1].Round(time.Millisecond), entryCount, inForceRounds)
+			})
 		})
 	}
-	golden.Assert(t, report, "in-force.golden")
 }
 
 func TestCutDomainKeepsItsVersionAndCatchesUp(t *testing.T) {
--- a/entry/configuration/fleet_test.go
+++ b/entry/configuration/fleet_test.go
@@ -248,6 +248,17 @@
 	return versions
 }
 
+// took returns how long a version took to be in force on each entry.
+func (f *fleet) took(version uint64, accepted time.Time) []time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var spans []time.Duration
+	for _, n := range f.nodes {
+		spans = append(spans, n.inForce[version].Sub(accepted))
+	}
+	return spans
+}
+
 // neverBack fails where an entry took a version that is not above the one before.
 func (f *fleet) neverBack(t *testing.T) {
 	t.Helper()
--- a/entry/configuration/source.go
+++ b/entry/configuration/source.go
@@ -20,8 +20,10 @@
 const (
 	// pollInterval is how often an entry asks the table, give or take a quarter.
 	pollInterval = time.Second
-	// pollTimeout bounds the reading of head and deltas.
-	pollTimeout = 10 * time.Second
+	// headTimeout bounds the reading of the head row, and stepsTimeout that of
+	// all deltas behind it.
+	headTimeout  = 3 * time.Second
+	stepsTimeout = time.Minute
 	// fetchTimeout bounds one question to a peer.
 	fetchTimeout = 5 * time.Second
 	// settleInterval is how often a starting entry looks whether it may serve.
@@ -189,14 +191,14 @@
 
 // Poll asks the platform once and takes a newer version over.
 func (k *Keeper) Poll(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
-	defer cancel()
-	head, _, err := publication.ReadHead(ctx, k.Platform.Table)
+	head, err := k.readHead(ctx)
 	k.reachable.Store(err == nil || errors.Is(err, platform.ErrNotFound))
 	if err != nil {
 		return err
 	}
 	k.compare(head.GetVersion())
+	ctx, cancel := context.WithTimeout(ctx, stepsTimeout)
+	defer cancel()
 	steps, err := publication.ReadSince(ctx, k.Platform.Objects, head, k.Version())
 	if err != nil {
 		return err
@@ -208,6 +210,13 @@
 	return nil
 }
 
+func (k *Keeper) readHead(ctx context.Context) (*teaselv1.Head, error) {
+	ctx, cancel := context.WithTimeout(ctx, headTimeout)
+	defer cancel()
+	head, _, err := publication.ReadHead(ctx, k.Platform.Table)
+	return head, err
+}
+
 // compare records a platform that has lost versions: the entry keeps its own.
 func (k *Keeper) compare(head uint64) {
 	if behind := head < k.Version(); behind != k.behind.Swap(behind) && behind {
