--- a/entry/dispatch/latency_test.go
+++ b/entry/dispatch/latency_test.go
@@ -26,10 +26,13 @@
 						got := f.send(to)
 						return time.Since(began), got.outcome
 					}
-					plain, _ := took(sending{
+					plainly := sending{
 						entry:  "entry-0",
 						method: http.MethodGet,
-					})
+					}
+					// The first request waits until the ledger gives out slots.
+					took(plainly)
+					plain, _ := took(plainly)
 					name := "own-key"
 					if kind == "ticket" {
 						name = f.node("entry-0").register.Issue()
--- a/entry/slot/queue_test.go
+++ b/entry/slot/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -127,10 +128,11 @@
 		_, err := b.acquire(2500*time.Millisecond, ask(Browse, "late"))
 		assert.ErrorIs(t, err, ErrNoRoom)
 		assert.Equal(t, time.Since(before), time.Duration(0))
-		// An offer goes ahead of them and still ends in time.
+		// An offer goes ahead of them and still ends in time: it is one of the two
+		// that start when the first two end, at the same instant.
 		b.enter("offer", ask(Decision, "agent"))
 		b.group.Wait()
-		assert.Equal(t, b.order[5], "offer")
+		assert.Assert(t, slices.Contains(b.order[5:7], "offer"), "%v", b.order)
 	})
 }
 
