--- a/entry/key/load_test.go
+++ b/entry/key/load_test.go
@@ -1,7 +1,11 @@
 package key_test
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"slices"
 	"strings"
@@ -14,6 +18,7 @@
 
 	"github.com/teaselstack/teaselstack/entry/key"
 	"github.com/teaselstack/teaselstack/outcome"
+	"github.com/teaselstack/teaselstack/platform"
 	"github.com/teaselstack/teaselstack/platform/memory"
 )
 
@@ -161,6 +166,55 @@
 	return stats.HeapAlloc
 }
 
+// BenchmarkCommit times one transaction of 64 claims over HTTP, with nothing
+// but the key in each row, and with bodies of offers beside it.
+func BenchmarkCommit(b *testing.B) {
+	const batch = 64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var writes []platform.TransactionWrite
+		if err := json.NewDecoder(r.Body).Decode(&writes); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		_ = json.NewEncoder(w).Encode(platform.TransactionResult{
+			Revisions: make([]platform.Revision, len(writes)),
+		})
+	}))
+	defer server.Close()
+	table := platform.NewClient(server.URL, server.Client()).Platform().Table
+	for _, body := range []int{0, 4 << 10, 64 << 10} {
+		b.Run(fmt.Sprintf("body-%d", body), func(b *testing.B) {
+			writes := make([]platform.Write, batch)
+			for i := range writes {
+				writes[i] = platform.Write{
+					Row:   fmt.Sprintf("key/000/%032d", i),
+					Value: make([]byte, claimBytes(b)+body),
+				}
+			}
+			for b.Loop() {
+				_, err := table.Commit(b.Context(), writes)
+				assert.NilError(b, err)
+			}
+			b.ReportMetric(float64(len(writes[0].Value)), "B/row")
+		})
+	}
+}
+
+// claimBytes returns the length of a claim's row.
+func claimBytes(b *testing.B) int {
+	var store memory.Store
+	ctx, cancel := context.WithCancel(b.Context())
+	var group sync.WaitGroup
+	register := key.New("entry-1", uint64(time.Now().UnixNano()), store.Platform().Table)
+	group.Go(func() { register.Run(ctx) })
+	_, _ = register.Begin(ctx, use("key"))
+	cancel()
+	group.Wait()
+	rows, err := store.Scan(b.Context(), "key/")
+	assert.NilError(b, err)
+	return len(rows[0].Value)
+}
+
 // BenchmarkTicket times the claim of a ticket and its end.
 func BenchmarkTicket(b *testing.B) {
 	register := key.New("entry-1", 1, (&memory.Store{}).Platform().Table, key.WithMaxRecords(1<<30))
