--- /dev/null
+++ b/standin/site/path_test.go
@@ -0,0 +1,133 @@
+package site_test
+
+import (
+	"path/filepath"
+	"syscall"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/teaselstack/teaselstack/outcome"
+	"github.com/teaselstack/teaselstack/standin/caller"
+	"github.com/teaselstack/teaselstack/standin/relay"
+	"github.com/teaselstack/teaselstack/standin/store"
+)
+
+func TestPathEndToEnd(t *testing.T) {
+	for example, server := range map[string]string{
+		"kasikirjoitus": "agent-desk-1",
+		"sarki":         "dispatch-desk-1",
+	} {
+		t.Run(example, func(t *testing.T) {
+			d := start(t, example)
+			report := d.underLoad(1, func() {
+				assert.NilError(t, d.teaselctl("drain", "backend-server", server, "--wait"))
+			})
+			held(t, report, report.Answered(), report.Uninterrupted())
+			drained := report.Backends.LastStart[server]
+			report = d.underLoad(2, func() {})
+			held(t, report, report.Answered(), report.Uninterrupted())
+			assert.Equal(t, report.Backends.LastStart[server], drained, "%s was given work after its drain", server)
+		})
+	}
+}
+
+// browsed is the promise that failures are hidden from requests that may run
+// again.
+func browsed(t *testing.T, report *caller.Report) {
+	t.Helper()
+	for _, result := range report.Results {
+		if result.Kind == caller.Browse {
+			assert.Equal(t, result.Outcome, outcome.Done, "%+v", result)
+		}
+	}
+}
+
+func TestKilledEntry(t *testing.T) {
+	d := start(t, "kasikirjoitus")
+	report := d.underLoad(1, func() {
+		d.killEntry("entry-4")
+		d.eventually("entry-4 counts as dead", func() bool { return d.allSee("entry-4", "dead") })
+		d.served(100)
+		d.startEntry("entry-4")
+		d.eventually("entry-4 is ready", func() bool { return d.ready("entry-4") })
+	})
+	held(t, report)
+	browsed(t, report)
+}
+
+func TestEntryPausedPastItsLease(t *testing.T) {
+	d := start(t, "kasikirjoitus")
+	report := d.underLoad(1, func() {
+		d.signal("entry-2", syscall.SIGSTOP)
+		d.eventually("entry-2 counts as dead", func() bool { return d.allSee("entry-2", "dead") })
+		d.served(100)
+		d.signal("entry-2", syscall.SIGCONT)
+		d.eventually("entry-2 is ready", func() bool { return d.ready("entry-2") })
+	})
+	held(t, report)
+	browsed(t, report)
+}
+
+func TestAllEntriesReplacedInTurn(t *testing.T) {
+	d := start(t, "kasikirjoitus")
+	report := d.underLoad(1, func() {
+		for _, entry := range d.Entries {
+			d.stopEntry(entry.Name)
+			d.startEntry(entry.Name)
+			d.eventually(entry.Name+" is ready", func() bool { return d.ready(entry.Name) })
+		}
+	})
+	held(t, report, report.Answered(), report.Uninterrupted())
+}
+
+func TestFailureDomainCutOffDuringPublication(t *testing.T) {
+	d := start(t, "kasikirjoitus")
+	report := d.underLoad(1, func() {
+		away := relay.Cut{
+			From: "se-east-a",
+			To:   relay.All,
+		}
+		back := relay.Cut{
+			From: relay.All,
+			To:   "se-east-a",
+		}
+		d.relay.SetCut(away, true)
+		d.relay.SetCut(back, true)
+		d.eventually("entry-4 counts as dead", func() bool { return d.allSee("entry-4", "dead") })
+		assert.NilError(t, d.teaselctl("drain", "backend-server", "agent-desk-1"))
+		d.eventually("the others have the drain", func() bool {
+			return d.inForce(2, "entry-1", "entry-2", "entry-3", "entry-5", "entry-6", "entry-7")
+		})
+		assert.Equal(t, d.status("entry-4").GetConfigurationVersion(), uint64(1))
+		d.served(100)
+		d.relay.Heal()
+		d.eventually("entry-4 has the drain", func() bool { return d.inForce(2, "entry-4") })
+		d.eventually("entry-4 is ready", func() bool { return d.ready("entry-4") })
+	})
+	held(t, report)
+	browsed(t, report)
+}
+
+func TestPlatformOutage(t *testing.T) {
+	d := start(t, "sarki")
+	report := d.underLoad(1, func() {
+		d.platform.SetFault(store.Fault{
+			Outage: store.Refuse,
+		})
+		d.served(100)
+		d.killEntry("entry-3")
+		d.startEntry("entry-3")
+		d.eventually("entry-3 is ready without the platform", func() bool { return d.ready("entry-3") })
+		d.platform.SetFault(store.Fault{
+			Outage: store.Hang,
+		})
+		d.served(100)
+		d.platform.SetFault(store.Fault{
+			LostAnswers: 5,
+		})
+	})
+	held(t, report)
+	browsed(t, report)
+	assert.NilError(t, d.teaselctl("publish", "--wait", filepath.Join(d.directory, "intents")))
+}
