--- a/Makefile
+++ b/Makefile
@@ -1,16 +1,16 @@
 # Targets for developers and operators; see README.md.
 
-MODULES := ./... ./entry/... ./standin/... ./teaselctl/...
+MODULES := ./... ./entry/... ./measure/... ./standin/... ./teaselctl/...
 DEPLOYMENT ?= kasikirjoitus
 
-.PHONY: build run test check generate tools
+.PHONY: build run test check generate tools bench capacity proofs
 
 run: build
 	@examples/run.sh $(DEPLOYMENT)
 
 build:
 	@mkdir -p bin
-	go build -o bin/ ./entry ./standin ./teaselctl
+	go build -o bin/ ./entry ./measure ./standin ./teaselctl
 
 tools: bin/revive
 
@@ -30,7 +30,26 @@
 # test is what CI runs: format, lint, vet, build, tests with the race detector,
 # and benchmarks against their bounds.
 test: tools build check
-	go test -race -count=1 $(MODULES)
+	.ci/tests $(MODULES)
+	$(MAKE) bench
 
 check: tools build
 	.ci/check
+
+# capacity measures how costs grow, prints them beside the target and renews
+# the figures of the page; then what the entry program's memory comes to.
+capacity: build
+	bin/measure capacity --page docs/CAPACITY.md
+	go test -count=1 -v -run TestEntryMemory ./measure/capacity
+
+# proofs runs the tests that docs/PROOFS.md names and prints its table with
+# their results.
+proofs: build
+	@bin/measure proofs --plan | while read -r package pattern; do \
+		go test -race -count=1 -json -run "$$pattern" "$$package"; \
+	done | bin/measure proofs
+
+# bench holds what one machine can measure to bounds that come from the target,
+# without the race detector, which test runs them under as well.
+bench:
+	go test -count=1 -run '^(TestBound|TestEntryMemory)' ./measure/capacity
