Whole-path tests: ports that outgoing connections never get

With ports from port 0, 2 of 6 tests failed to listen in one run: the system had given the port to an outgoing connection meanwhile.

--- a/standin/site/deployment_test.go
+++ b/standin/site/deployment_test.go
@@ -51,6 +51,10 @@
 	}())
 }
 
+// firstPort begins a range below the ports that the system gives to outgoing
+// connections: one that it gave out could be taken while an entry restarts.
+const firstPort = 10_000
+
 // deployments counts those of this process.
 var deployments atomic.Uint32
 
@@ -104,17 +108,11 @@
 
 var addressPattern = regexp.MustCompile(`127\.0\.0\.1:\d+`)
 
-// rewrite copies an example with every address replaced by a free one.
+// rewrite copies an example to addresses of its own.
 func rewrite(t *testing.T, from, to string) {
 	t.Helper()
 	loopback := newLoopback()
 	fresh := make(map[string]string)
-	var reserved []net.Listener
-	defer func() {
-		for _, listener := range reserved {
-			_ = listener.Close()
-		}
-	}()
 	assert.NilError(t, os.CopyFS(to, os.DirFS(from)))
 	assert.NilError(t, filepath.WalkDir(to, func(path string, found os.DirEntry, err error) error {
 		if err != nil || found.IsDir() {
@@ -126,10 +124,7 @@
 		}
 		content = addressPattern.ReplaceAllFunc(content, func(old []byte) []byte {
 			if fresh[string(old)] == "" {
-				listener, err := net.Listen("tcp", loopback+":0")
-				assert.NilError(t, err)
-				reserved = append(reserved, listener)
-				fresh[string(old)] = listener.Addr().String()
+				fresh[string(old)] = fmt.Sprintf("%s:%d", loopback, firstPort+len(fresh))
 			}
 			return []byte(fresh[string(old)])
 		})
