--- a/entry/machine.go
+++ b/entry/machine.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -145,6 +146,7 @@
 		Places:        m.view.Places,
 		Entries:       m.answerable,
 		Issue:         m.keys.Issue,
+		Stopping:      func() bool { return m.roster.Self().GetStopping() },
 		Region:        loaded.Region,
 	}
 	return m
@@ -332,15 +334,14 @@
 	return names
 }
 
-// answerable lists the entries that look-ups may name.
+// answerable lists the entries that look-ups may name: alive, with a
+// configuration that they serve, and not stopping.
 func (m *machine) answerable() []*teaselv1.Member {
 	var members []*teaselv1.Member
-	if self := m.roster.Self(); !self.GetStopping() {
-		members = append(members, self)
-	}
-	for _, peer := range m.roster.AliveMembers() {
-		if peer.GetServing() && !peer.GetStopping() {
-			members = append(members, peer)
+	self := []*teaselv1.Member{m.roster.Self()}
+	for _, member := range slices.Concat(self, m.roster.AliveMembers()) {
+		if member.GetServing() && !member.GetStopping() {
+			members = append(members, member)
 		}
 	}
 	return members
