--- a/entry/machine.go
+++ b/entry/machine.go
@@ -59,6 +59,9 @@
 	lookups    *lookup.Server
 	peers      *http.Client
 	seat       *lease.Seat
+	listing    membership.Listing
+	// partners are the entries that hold seats at the same backend servers.
+	partners atomic.Pointer[[]string]
 	// superseded is closed when another process has this entry's seat.
 	superseded     chan struct{}
 	supersededOnce sync.Once
@@ -99,6 +102,7 @@
 	}
 	m.peers = m.peerClient()
 	service := connect(m.newTransport())
+	m.listing.Machines = service.Machines
 	m.keeper = &configuration.Keeper{
 		Platform:     service,
 		Fetch:        m.fetchConfiguration,
@@ -171,6 +175,13 @@
 		membership.WithPart(m.keeper.Part()),
 		membership.WithPart(m.suspects.Part()),
 		membership.WithSuperseded(m.giveUpSeat),
+		membership.WithListed(m.listing.Known),
+		membership.WithPartners(func() []string {
+			if names := m.partners.Load(); names != nil {
+				return *names
+			}
+			return nil
+		}),
 	)
 }
 
@@ -302,6 +313,8 @@
 	m.slots.Configure(next)
 	m.health.Configure(next)
 	m.links.Configure(next)
+	partners := slot.NewSeating(next).Partners(m.settings.Name)
+	m.partners.Store(&partners)
 	m.keys.Share(len(next.Deployment.Entries))
 	m.roster.Update(func(self *teaselv1.Member) {
 		self.ConfigurationVersion = next.Version
@@ -373,6 +386,7 @@
 	err := m.shutdown(servers)
 	stopBackground()
 	group.Wait()
+	m.listing.Wait()
 	if failure != nil {
 		return failure
 	}
