--- a/entry/lookup/lookup.go
+++ b/entry/lookup/lookup.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -26,6 +27,8 @@
 	Places func(service *intent.Service, region string) []steering.Ranked
 	// Entries lists the entries that can be answered: alive and not stopping.
 	Entries func() []*teaselv1.Member
+	// Entry returns one of Entries by name, or nil.
+	Entry func(name string) *teaselv1.Member
 	// Issue returns a new ticket.
 	Issue func() string
 	// Stopping reports whether this entry is to get no new requests, so that it
@@ -99,20 +102,15 @@
 	return answer, nil
 }
 
-// order lists entries: first those that are homes of the service, by rank, then
-// the others of the region.
+// order lists entries: first those that own slots of the service, by rank, then
+// others. The others are listed only where the owners are too few: a large fleet
+// has thousands.
 func (s *Server) order(service *intent.Service, region string) []*teaselv1.EntryAddress {
-	members := make(map[string]*teaselv1.Member)
 	var ordered []*teaselv1.EntryAddress
-	for _, member := range s.Entries() {
-		members[member.GetName()] = member
-	}
-	add := func(name string) {
-		member := members[name]
-		if member == nil || len(ordered) >= maxEntries {
+	add := func(member *teaselv1.Member) {
+		if member == nil || len(ordered) >= maxEntries || named(ordered, member.GetName()) {
 			return
 		}
-		delete(members, name)
 		ordered = append(ordered, &teaselv1.EntryAddress{
 			Name:          member.GetName(),
 			Address:       member.GetCallerAddress(),
@@ -122,15 +120,21 @@
 	}
 	for _, ranked := range s.Places(service, region) {
 		if ranked.Allowed {
-			add(ranked.Place.Home)
+			add(s.Entry(ranked.Place.Home))
 		}
 	}
-	for _, member := range s.Entries() {
-		add(member.GetName())
+	if len(ordered) < maxEntries {
+		for _, member := range s.Entries() {
+			add(member)
+		}
 	}
 	return ordered
 }
 
+func named(entries []*teaselv1.EntryAddress, name string) bool {
+	return slices.ContainsFunc(entries, func(e *teaselv1.EntryAddress) bool { return e.GetName() == name })
+}
+
 func callerAddress(text, peer string) (netip.Addr, error) {
 	if text == "" {
 		host, _, err := net.SplitHostPort(peer)
--- a/entry/machine.go
+++ b/entry/machine.go
@@ -97,6 +97,7 @@
 		superseded: make(chan struct{}),
 		events:     timeline.NewRing(loaded.Name, loaded.Limits.TimelineEvents, clock),
 	}
+	registerRuntime(m.metrics)
 	m.peers = m.peerClient()
 	service := connect(m.newTransport())
 	m.keeper = &configuration.Keeper{
@@ -141,6 +142,7 @@
 		Configuration: m.keeper.Serving,
 		Places:        m.view.Places,
 		Entries:       m.answerable,
+		Entry:         m.answerableEntry,
 		Issue:         m.keys.Issue,
 		Stopping:      func() bool { return m.roster.Self().GetStopping() },
 		Region:        loaded.Region,
@@ -327,13 +329,29 @@
 	var members []*teaselv1.Member
 	self := []*teaselv1.Member{m.roster.Self()}
 	for _, member := range slices.Concat(self, m.roster.AliveMembers()) {
-		if member.GetServing() && !member.GetStopping() {
+		if answers(member) {
 			members = append(members, member)
 		}
 	}
 	return members
 }
 
+// answerableEntry returns one of the answerable entries by name, or nil.
+func (m *machine) answerableEntry(name string) *teaselv1.Member {
+	if self := m.roster.Self(); name == self.GetName() && answers(self) {
+		return self
+	}
+	peer, known := m.roster.Peer(name)
+	if !known || peer.State != membership.Alive || !answers(peer.Member) {
+		return nil
+	}
+	return peer.Member
+}
+
+func answers(member *teaselv1.Member) bool {
+	return member.GetServing() && !member.GetStopping()
+}
+
 func (m *machine) ready() bool {
 	return m.keeper.Serving() != nil && !m.stopping.Load()
 }
--- a/measure/capacity/lookups.go
+++ b/measure/capacity/lookups.go
@@ -126,6 +126,7 @@
 		Configuration: current,
 		Places:        view.Places,
 		Entries:       func() []*teaselv1.Member { return alive(roster) },
+		Entry:         func(name string) *teaselv1.Member { return aliveEntry(roster, name) },
 		Issue:         func() string { return "ticket" },
 		Region:        fleet.RegionName(0),
 	}
@@ -156,3 +157,14 @@
 	}
 	return members
 }
+
+func aliveEntry(roster *membership.Roster, name string) *teaselv1.Member {
+	if self := roster.Self(); name == self.GetName() {
+		return self
+	}
+	peer, known := roster.Peer(name)
+	if !known || peer.State != membership.Alive || peer.Member.GetStopping() {
+		return nil
+	}
+	return peer.Member
+}
