--- a/measure/capacity/lookups.go
+++ b/measure/capacity/lookups.go
@@ -118,7 +118,7 @@
 	part := view.Part()
 	for i := 1; i < size.Nodes; i++ {
 		part.Answer(&teaselv1.HeartbeatRequest{
-			Sender: member(i),
+			Sender: member(i, size.FailureDomains),
 			Loads:  loads(size),
 		}, &teaselv1.HeartbeatResponse{})
 	}
@@ -126,6 +126,7 @@
 		Configuration: current,
 		Places:        view.Places,
 		Entries:       func() []*teaselv1.Member { return alive(roster) },
+		Entry:         func(name string) *teaselv1.Member { return aliveEntry(roster, name) },
 		Issue:         func() string { return "ticket" },
 		Region:        fleet.RegionName(0),
 	}
@@ -149,10 +150,21 @@
 // alive is what the entry program hands to its look-up server.
 func alive(roster *membership.Roster) []*teaselv1.Member {
 	members := []*teaselv1.Member{roster.Self()}
-	for _, peer := range roster.Peers() {
-		if peer.State == membership.Alive && !peer.Member.GetStopping() {
-			members = append(members, peer.Member)
+	for _, peer := range roster.AliveMembers() {
+		if !peer.GetStopping() {
+			members = append(members, peer)
 		}
 	}
 	return members
 }
+
+func aliveEntry(roster *membership.Roster, name string) *teaselv1.Member {
+	if self := roster.Self(); name == self.GetName() {
+		return self
+	}
+	peer, known := roster.Peer(name)
+	if !known || peer.State != membership.Alive || peer.Member.GetStopping() {
+		return nil
+	}
+	return peer.Member
+}
