--- a/entry/dispatch/forward.go
+++ b/entry/dispatch/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"fmt"
 	"net"
 	"net/http"
@@ -12,11 +13,13 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/teaselstack/teaselstack/entry/health"
 	"github.com/teaselstack/teaselstack/entry/quarantine"
 	"github.com/teaselstack/teaselstack/entry/slot"
 	"github.com/teaselstack/teaselstack/header"
 	"github.com/teaselstack/teaselstack/intent"
 	"github.com/teaselstack/teaselstack/outcome"
+	"github.com/teaselstack/teaselstack/timeline"
 )
 
 const (
@@ -49,6 +52,7 @@
 		return refused(out)
 	}
 	ans := d.forward(ctx, req, grant.Server)
+	d.observe(req, grant.Server, ans.outcome)
 	if ans.response == nil {
 		free(ans.outcome)
 		return ans
@@ -61,6 +65,28 @@
 	return ans
 }
 
+// observe tells the health of a backend server from the end of one attempt.
+func (d *Dispatcher) observe(req *Request, server *intent.BackendServer, end outcome.Outcome) {
+	if d.Observe == nil {
+		return
+	}
+	switch end.Reason {
+	case outcome.ReasonConnect:
+		d.Observe(server, health.Unconnected)
+	case outcome.ReasonShed:
+		d.Observe(server, health.Shed)
+	case outcome.ReasonBroken:
+		d.Observe(server, health.Broken)
+	case outcome.ReasonDeadline:
+		// A caller's short timeout says nothing of the server.
+		if time.Since(req.arrived) >= time.Duration(req.Service.Deadline)/2 {
+			d.Observe(server, health.Broken)
+		}
+	case "":
+		d.Observe(server, health.Answered)
+	}
+}
+
 // acquire takes a slot. A suspect gets none on a backend server that runs
 // another suspect.
 func (d *Dispatcher) acquire(ctx context.Context, req *Request, excluded []string) (*slot.Grant, func(), outcome.Outcome) {
@@ -198,6 +224,13 @@
 
 // broke makes a request a suspect.
 func (d *Dispatcher) broke(req *Request, server string) {
+	d.Events.Record(timeline.Event{
+		Kind:    "request-suspect",
+		Service: req.Service.Name,
+		Server:  server,
+		Key:     req.Key,
+		Detail:  "digest=" + hex.EncodeToString(req.Digest[:]),
+	})
 	d.Quarantine.Broke(quarantine.Digest(req.Digest), req.Service.Name, server)
 }
 
@@ -210,8 +243,12 @@
 	out := &http.Request{
 		Method: incoming.Method,
 		URL:    &target,
-		Host:   incoming.Host,
-		Header: incoming.Header.Clone(),
+		// Without a version net/http does not wait for 100 Continue.
+		Proto:      "HTTP/1.1",
+		ProtoMajor: 1,
+		ProtoMinor: 1,
+		Host:       incoming.Host,
+		Header:     incoming.Header.Clone(),
 	}
 	header.StripHopByHop(out.Header)
 	out.Header.Del("Expect")
--- a/measure/capacity/decisions.go
+++ b/measure/capacity/decisions.go
@@ -101,7 +101,8 @@
 // AcquireRelease takes a slot of the first site and gives it back.
 func AcquireRelease(ledger *slot.Ledger) {
 	grant, err := ledger.Acquire(context.Background(), slot.Ask{
-		Service: fleet.SiteName(0),
+		Service:    fleet.SiteName(0),
+		FromRegion: fleet.RegionName(0),
 	})
 	if err != nil {
 		panic("acquire a measured slot: " + err.Error())
--- a/measure/capacity/heartbeats.go
+++ b/measure/capacity/heartbeats.go
@@ -109,7 +109,9 @@
 	}
 	for i := range nodes {
 		if i != 1 {
-			request.Membership.Members = append(request.Membership.Members, member(i))
+			request.Membership.Reports = append(request.Membership.Reports, &teaselv1.MemberReport{
+				Member: member(i),
+			})
 		}
 	}
 	return request
--- a/measure/capacity/process_test.go
+++ b/measure/capacity/process_test.go
@@ -70,7 +70,9 @@
 	}
 	current, err := publisher.Read(t.Context())
 	assert.NilError(t, err)
-	_, err = publisher.Publish(t.Context(), current, append(size.Documents(), size.BlockDocuments()...))
+	_, err = publisher.Publish(t.Context(), current, publication.Change{
+		Documents: append(size.Documents(), size.BlockDocuments()...),
+	})
 	assert.NilError(t, err)
 	operators := freeAddress(t)
 	file := filepath.Join(t.TempDir(), "entry.toml")
