--- a/entry/machine.go
+++ b/entry/machine.go
@@ -385,7 +385,7 @@
 		Handler:           handler,
 		ReadHeaderTimeout: time.Duration(limits.HeaderTimeout),
 		IdleTimeout:       time.Duration(limits.IdleTimeout),
-		MaxHeaderBytes:    limits.HeaderBytes,
+		MaxHeaderBytes:    headerSlack * limits.HeaderBytes,
 	}
 }
 
@@ -393,7 +393,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(teaselv1connect.NewLookupServiceHandler(m.lookups, connect.WithReadMaxBytes(m.settings.Limits.HeaderBytes)))
 	mux.HandleFunc("/", m.dispatcher.ServeCaller)
-	return m.leaving(mux)
+	return m.leaving(bounded(m.settings.Limits.HeaderBytes, mux))
 }
 
 func (m *machine) peersHandler() http.Handler {
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -136,11 +136,11 @@
 
 func (c *checker) limits(l Limits) {
 	c.positive("limits.header-bytes", int64(l.HeaderBytes))
-	c.positive("limits.header-timeout", int64(l.HeaderTimeout))
-	c.positive("limits.idle-timeout", int64(l.IdleTimeout))
-	c.positive("limits.max-deadline", int64(l.MaxDeadline))
-	c.positive("limits.heartbeat-interval", int64(l.HeartbeatInterval))
-	c.positive("limits.stop-timeout", int64(l.StopTimeout))
+	c.span("limits.header-timeout", l.HeaderTimeout)
+	c.span("limits.idle-timeout", l.IdleTimeout)
+	c.span("limits.max-deadline", l.MaxDeadline)
+	c.span("limits.heartbeat-interval", l.HeartbeatInterval)
+	c.span("limits.stop-timeout", l.StopTimeout)
 	c.positive("limits.timeline-events", int64(l.TimelineEvents))
 }
 
@@ -167,3 +167,13 @@
 		c.fault(key, "must be above 0")
 	}
 }
+
+// minSpan is the shortest duration accepted. A bare number counts nanoseconds,
+// which nobody means.
+const minSpan = document.Duration(time.Millisecond)
+
+func (c *checker) span(key string, value document.Duration) {
+	if value < minSpan {
+		c.fault(key, "must be at least 1ms, written as a duration such as \"5s\"")
+	}
+}
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -134,10 +135,11 @@
 			return notSent
 		}
 	}
-	if key != "" {
+	first := key != "" && !slices.Contains(result.Keys, key)
+	if first {
 		result.Keys = append(result.Keys, key)
 	}
-	tried, err := c.exchange(ctx, asked, address, key)
+	tried, err := c.exchange(ctx, asked, address, key, first)
 	if err != nil {
 		c.forget(asked.service)
 	}
@@ -210,7 +212,7 @@
 
 // exchange sends the request to one entry. An error says that the entry gave no
 // outcome.
-func (c *caller) exchange(ctx context.Context, asked request, address, key string) (attempt, error) {
+func (c *caller) exchange(ctx context.Context, asked request, address, key string, first bool) (attempt, error) {
 	var connected bool
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected = true },
@@ -223,6 +225,9 @@
 	}
 	out := asked.build(traced, address, key)
 	out.Header.Set(header.TimeoutMS, strconv.FormatInt(max(1, time.Until(deadline(ctx)).Milliseconds()), 10))
+	if first {
+		out.Header.Set(header.FirstSend, "true")
+	}
 	response, err := c.http.Do(out)
 	if err != nil {
 		if !connected {
