--- a/standin/relay/relay_test.go
+++ b/standin/relay/relay_test.go
@@ -160,17 +160,18 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t)
 		const (
+			connections    = 16
 			total          = 512 << 20
 			bytesPerSecond = 500_000_000 // 4 Gbit/s
 		)
 		began := time.Now()
 		var group sync.WaitGroup
-		for range 4 {
+		for range connections {
 			conn := f.dial(t, "fi-central-a", agentDesk3)
-			group.Go(func() { _, _ = io.CopyN(io.Discard, conn, total/4) })
+			group.Go(func() { _, _ = io.CopyN(io.Discard, conn, total/connections) })
 			group.Go(func() {
 				part := make([]byte, 1<<20)
-				for range total / 4 / len(part) {
+				for range total / connections / len(part) {
 					_, _ = conn.Write(part)
 				}
 			})
