--- a/standin/site/deployment_test.go
+++ b/standin/site/deployment_test.go
@@ -100,6 +100,12 @@
 	for _, entry := range d.Entries {
 		d.startEntry(entry.Name)
 	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			d.show("timeline", "--limit", "30")
+			d.show("status")
+		}
+	})
 	d.eventually("the intents are published", func() bool {
 		return d.teaselctl("publish", "--wait", filepath.Join(directory, "intents")) == nil
 	})
@@ -227,6 +233,14 @@
 	return err
 }
 
+// show logs what a command of teaselctl prints.
+func (d *deployment) show(arguments ...string) {
+	command := exec.Command(filepath.Join(programs, "teaselctl"), arguments...)
+	command.Env = append(os.Environ(), "TEASELCTL_SETTINGS="+filepath.Join(d.directory, "teaselctl.toml"))
+	output, err := command.CombinedOutput()
+	d.t.Logf("teaselctl %v: %v\n%s", arguments, err, output)
+}
+
 // status returns an entry's own report, or nil when it does not answer.
 func (d *deployment) status(name string) *teaselv1.StatusResponse {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
