--- a/entry/machine.go
+++ b/entry/machine.go
@@ -100,6 +100,7 @@
 		superseded: make(chan struct{}),
 		events:     timeline.NewRing(loaded.Name, loaded.Limits.TimelineEvents, clock),
 	}
+	registerRuntime(m.metrics)
 	m.peers = m.peerClient()
 	service := connect(m.newTransport())
 	m.listing.Machines = service.Machines
@@ -145,6 +146,7 @@
 		Configuration: m.keeper.Serving,
 		Places:        m.view.Places,
 		Entries:       m.answerable,
+		Entry:         m.answerableEntry,
 		Issue:         m.keys.Issue,
 		Stopping:      func() bool { return m.roster.Self().GetStopping() },
 		Region:        loaded.Region,
@@ -340,13 +342,29 @@
 	var members []*teaselv1.Member
 	self := []*teaselv1.Member{m.roster.Self()}
 	for _, member := range slices.Concat(self, m.roster.AliveMembers()) {
-		if member.GetServing() && !member.GetStopping() {
+		if answers(member) {
 			members = append(members, member)
 		}
 	}
 	return members
 }
 
+// answerableEntry returns one of the answerable entries by name, or nil.
+func (m *machine) answerableEntry(name string) *teaselv1.Member {
+	if self := m.roster.Self(); name == self.GetName() && answers(self) {
+		return self
+	}
+	peer, known := m.roster.Peer(name)
+	if !known || peer.State != membership.Alive || !answers(peer.Member) {
+		return nil
+	}
+	return peer.Member
+}
+
+func answers(member *teaselv1.Member) bool {
+	return member.GetServing() && !member.GetStopping()
+}
+
 func (m *machine) ready() bool {
 	return m.keeper.Serving() != nil && !m.stopping.Load()
 }
@@ -399,7 +417,7 @@
 		Handler:           handler,
 		ReadHeaderTimeout: time.Duration(limits.HeaderTimeout),
 		IdleTimeout:       time.Duration(limits.IdleTimeout),
-		MaxHeaderBytes:    limits.HeaderBytes,
+		MaxHeaderBytes:    headerSlack * limits.HeaderBytes,
 	}
 }
 
@@ -407,7 +425,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(teaselv1connect.NewLookupServiceHandler(m.lookups, connect.WithReadMaxBytes(m.settings.Limits.HeaderBytes)))
 	mux.HandleFunc("/", m.dispatcher.ServeCaller)
-	return m.leaving(mux)
+	return m.leaving(bounded(m.settings.Limits.HeaderBytes, mux))
 }
 
 func (m *machine) peersHandler() http.Handler {
