--- a/intent/recompile_test.go
+++ b/intent/recompile_test.go
@@ -1,31 +1,88 @@
-package intent
+package intent_test
 
 import (
+	"fmt"
 	"net/netip"
+	"reflect"
 	"testing"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/teaselstack/teaselstack/intent"
 )
 
-func TestRecompileFollowsChangedBlocks(t *testing.T) {
-	address := netip.MustParseAddr("10.0.0.1")
-	known := append(checkedDocuments(checkedService), Document{
-		Name:    "client-blocks/callers.blocks",
-		Content: []byte("10.0.0.0/24 north\n"),
+// drawDocument draws one document of a small deployment; some are faulty.
+func drawDocument(t *rapid.T) intent.Document {
+	name := rapid.SampledFrom([]string{"deployment.toml", "services/a.toml", "services/b.toml", "drains/x.toml", "client-blocks/k", "client-blocks/l"}).Draw(t, "document")
+	variant := rapid.IntRange(0, 3).Draw(t, "variant")
+	var text string
+	switch name {
+	case "deployment.toml":
+		text = fmt.Sprintf("name = \"d\"\n[objective]\nlatency = %d\n[[region]]\nname = \"north\"\n[[region]]\nname = \"south\"\n[[failure-domain]]\nname = \"n\"\nregion = \"north\"\n[[entry]]\nname = \"e\"\nfailure-domain = \"n\"\n", variant)
+	case "drains/x.toml":
+		text = fmt.Sprintf("kind = \"backend-server\"\nname = \"server-%d\"\n", variant)
+	case "services/a.toml", "services/b.toml":
+		text = fmt.Sprintf("name = %q\n[[region]]\nname = \"north\"\nmax-rate = 5\n[[backend-server]]\nname = \"server-%d\"\naddress = \"10.0.0.1:80\"\nfailure-domain = \"n\"\nslots = 3\n", name[len("services/"):len("services/")+1], variant)
+	default:
+		text = fmt.Sprintf("10.%d.0.0/16 south\n10.0.0.0/%d north\n", variant, 8+variant)
+	}
+	return intent.Document{
+		Name:    name,
+		Content: []byte(text),
+	}
+}
+
+// put returns documents with one replaced or added.
+func put(documents []intent.Document, changed intent.Document) []intent.Document {
+	var next []intent.Document
+	for _, doc := range documents {
+		if doc.Name != changed.Name {
+			next = append(next, doc)
+		}
+	}
+	return append(next, changed)
+}
+
+// TestRecompileIsCompile changes, adds and removes documents in any order: each
+// step makes the same configuration, or finds the same faults, as compiling all.
+func TestRecompileIsCompile(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var current *intent.Configuration
+		var known []intent.Document
+		for version := range uint64(rapid.IntRange(1, 8).Draw(t, "steps")) {
+			documents := put(known, drawDocument(t))
+			for range rapid.IntRange(0, 5).Draw(t, "more") {
+				documents = put(documents, drawDocument(t))
+			}
+			if rapid.IntRange(0, 3).Draw(t, "remove") == 0 {
+				documents = documents[1:]
+			}
+			got, err := intent.Recompile(current, known, version, documents)
+			want, wantErr := intent.Compile(version, documents)
+			if fmt.Sprint(err) != fmt.Sprint(wantErr) {
+				t.Fatalf("Recompile says %v, Compile says %v", err, wantErr)
+			}
+			if err != nil {
+				continue
+			}
+			same(t, got, want)
+			current, known = got, documents
+		}
 	})
-	previous, err := Compile(1, known)
-	assert.NilError(t, err)
-	drained, err := Recompile(previous, known, 2, append(checkedDocuments(checkedService, "entry entry-2"), known[2]))
-	assert.NilError(t, err)
-	region, covered := drained.Blocks.Region(address)
-	assert.Assert(t, covered)
-	assert.Equal(t, region, "north")
-	assert.Assert(t, drained.EntryDraining("entry-2"))
-	moved, err := Recompile(previous, known, 3, append(checkedDocuments(checkedService), Document{
-		Name:    "client-blocks/callers.blocks",
-		Content: []byte("10.0.0.0/24 south\n"),
-	}))
-	assert.NilError(t, err)
-	region, _ = moved.Blocks.Region(address)
-	assert.Equal(t, region, "south")
+}
+
+func same(t *rapid.T, got, want *intent.Configuration) {
+	assert.Assert(t, reflect.DeepEqual(got.Deployment, want.Deployment))
+	assert.Assert(t, reflect.DeepEqual(got.Services, want.Services))
+	assert.Assert(t, reflect.DeepEqual(got.Drains, want.Drains))
+	for i := range 4 {
+		name := fmt.Sprintf("server-%d", i)
+		assert.Assert(t, reflect.DeepEqual(got.BackendServer(name), want.BackendServer(name)), name)
+		address := netip.AddrFrom4([4]byte{10, byte(i), 1, 1})
+		region, _ := got.Blocks.Region(address)
+		wanted, _ := want.Blocks.Region(address)
+		assert.Equal(t, region, wanted, "%s", address)
+	}
+	assert.Assert(t, got.Entry("e") != nil && got.FailureDomain("n") != nil)
 }
