Links both ways: interactive first with a reserve, bulk admitted by its rate

Guards taken out in a scratch copy, and what failed: whole link for each entry and bursts not deducted (TestRate: 4063232 bytes in a second of a share of 4000000 for the latter), reserve (TestReserve), floor (TestPriority: bulk sent 0), priority (TestPriority: interactive sent of at least), admission (TestAdmit).

--- a/entry/dispatch/deliver.go
+++ b/entry/dispatch/deliver.go
@@ -28,6 +28,9 @@
 	w.Header().Set(header.Outcome, outcome.Done.String())
 	w.WriteHeader(response.StatusCode)
 	memory := &capture{}
+	if req.Hops > 0 {
+		response.Body = d.paced(req, response.Body)
+	}
 	readErr, writeErr := copyBody(w, response, memory, !req.Idempotent)
 	switch {
 	case readErr != nil:
@@ -42,6 +45,17 @@
 	}
 }
 
+// paced keeps an answer to another region's entry within the link's rate.
+func (d *Dispatcher) paced(req *Request, body io.ReadCloser) io.ReadCloser {
+	return struct {
+		io.Reader
+		io.Closer
+	}{
+		Reader: d.Links.Pace(req.incoming.Context(), req.Region, req.Service.Class, body),
+		Closer: body,
+	}
+}
+
 // cut is the outcome of a request whose answer broke off.
 func (d *Dispatcher) cut(req *Request, ans answer, err error) outcome.Outcome {
 	out := outcome.Failed(outcome.Dispatched, outcome.ReasonShortAnswer, err)
--- a/entry/dispatch/relay.go
+++ b/entry/dispatch/relay.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/teaselstack/teaselstack/entry/steering"
 	"github.com/teaselstack/teaselstack/header"
@@ -28,6 +29,11 @@
 	if req.overdue() {
 		return refused(outcome.Failed(outcome.Held, outcome.ReasonDeadline, context.DeadlineExceeded))
 	}
+	done, admitted := d.admit(ctx, req, place.Region)
+	if !admitted {
+		return refused(outcome.End(outcome.Held, outcome.ReasonLinkFull, "the link to "+place.Region+" has no room for this transfer before its deadline"))
+	}
+	defer done()
 	ans := d.relay(ctx, req, address, place.Region, func(headers http.Header) {
 		headers.Set(header.InternalServer, asHome)
 		headers.Set(header.InternalExclude, strings.Join(excluded, ","))
@@ -38,6 +44,16 @@
 	return ans
 }
 
+// admit asks the link to a region for the room that the request's body needs. The
+// body has gone when the answer begins.
+func (d *Dispatcher) admit(ctx context.Context, req *Request, region string) (done func(), admitted bool) {
+	deadline, bounded := ctx.Deadline()
+	if !req.hasBody() || !bounded {
+		return func() {}, true
+	}
+	return d.Links.Admit(region, req.Service.Class, req.incoming.ContentLength, time.Until(deadline))
+}
+
 // relayToIssuer sends a request to the entry that issued its ticket. Only what
 // the issuer says of the ticket counts: the request may have been sent before.
 func (d *Dispatcher) relayToIssuer(ctx context.Context, req *Request, issuer string) answer {
