--- a/entry/steering/steering.go
+++ b/entry/steering/steering.go
@@ -68,22 +68,41 @@
 // full, one in another region is not allowed, so that old figures may stop a
 // shift but never start one.
 func Decide(objective intent.Objective, places []Place) []Ranked {
-	ranked := make([]Ranked, len(places))
+	order := make([]position, len(places))
 	for at := range places {
-		ranked[at].rank(objective, &places[at])
-	}
-	slices.SortStableFunc(ranked, func(a, b Ranked) int {
-		if a.Allowed != b.Allowed {
-			if a.Allowed {
-				return -1
-			}
-			return 1
+		var each Ranked
+		each.rank(objective, &places[at])
+		order[at] = position{
+			at:      at,
+			allowed: each.Allowed,
+			cost:    each.Cost,
 		}
-		return cmp.Compare(a.Cost, b.Cost)
-	})
+	}
+	slices.SortStableFunc(order, comparePositions)
+	ranked := make([]Ranked, len(places))
+	for rank, each := range order {
+		ranked[rank].rank(objective, &places[each.at])
+	}
 	return ranked
 }
 
+// position is what the sort of places moves about.
+type position struct {
+	at      int
+	allowed bool
+	cost    float64
+}
+
+func comparePositions(a, b position) int {
+	if a.allowed != b.allowed {
+		if a.allowed {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(a.cost, b.cost)
+}
+
 func (r *Ranked) rank(objective intent.Objective, place *Place) {
 	r.Place = *place
 	r.Reason = place.refusal()
