--- a/entry/dispatch/relay.go
+++ b/entry/dispatch/relay.go
@@ -36,6 +36,9 @@
 	defer done()
 	ans := d.relay(ctx, req, address, place.Region, func(headers http.Header) {
 		headers.Set(header.InternalServer, asHome)
+		if req.immediate {
+			headers.Set(header.InternalImmediate, "true")
+		}
 		headers.Set(header.InternalExclude, strings.Join(excluded, ","))
 	})
 	if ans.server != "" && ans.outcome.Reason == outcome.ReasonBroken {
@@ -69,12 +72,17 @@
 	ans := d.relay(ctx, req, address, region, func(headers http.Header) {
 		headers.Set(header.InternalServer, asIssuer)
 	})
-	if ans.response == nil && ans.outcome.Reason == outcome.ReasonPeerLost {
-		if ans.outcome.Kind == outcome.Unknown {
-			phase = outcome.Elsewhere
-		}
-		ans.outcome = outcome.End(phase, outcome.ReasonIssuerGone, ans.outcome.Detail)
+	if ans.response != nil || ans.stated {
+		return ans
+	}
+	if ans.outcome.Kind == outcome.Unknown {
+		phase = outcome.Elsewhere
+	}
+	reason := ans.outcome.Reason
+	if reason == outcome.ReasonPeerLost {
+		reason = outcome.ReasonIssuerGone
 	}
+	ans.outcome = outcome.End(phase, reason, ans.outcome.Detail)
 	return ans
 }
 
@@ -110,6 +118,7 @@
 		out.Status = response.StatusCode
 		return answer{
 			outcome: out,
+			stated:  true,
 			server:  response.Header.Get(header.InternalServer),
 		}
 	}
@@ -182,6 +191,7 @@
 		Region:     incoming.Header.Get(header.InternalRegion),
 		Hops:       hops,
 		incoming:   incoming,
+		immediate:  incoming.Header.Get(header.InternalImmediate) != "",
 	}
 	if incoming.ContentLength != 0 {
 		req.rest = incoming.Body
--- a/entry/dispatch/request.go
+++ b/entry/dispatch/request.go
@@ -38,10 +38,14 @@
 	Region string
 	// Hops counts the entries that the request has passed.
 	Hops int
+	// immediate says that the attempt at hand is refused rather than let wait.
+	immediate bool
 
 	incoming *http.Request
 	arrived  time.Time
-	timeout  time.Duration
+	// arrivedWall is arrived by the wall clock alone.
+	arrivedWall time.Time
+	timeout     time.Duration
 	// start is the beginning of the body, kept for the digest and for retries.
 	start []byte
 	// rest is what follows start; nil when start is the whole body.
@@ -253,6 +257,7 @@
 // counts on that.
 func (d *Dispatcher) setTimeout(w http.ResponseWriter, req *Request) {
 	req.arrived = time.Now()
+	req.arrivedWall = req.arrived.Round(0)
 	req.timeout = time.Duration(req.Service.Deadline)
 	if text := req.incoming.Header.Get(header.TimeoutMS); text != "" {
 		if value, err := strconv.ParseInt(text, 10, 32); err == nil && value > 0 {
@@ -284,5 +289,5 @@
 // process that was paused must not dispatch what it held.
 func (r *Request) overdue() bool {
 	now := time.Now()
-	return now.Sub(r.arrived) >= r.timeout || now.Round(0).Sub(r.arrived.Round(0)) >= r.timeout
+	return now.Sub(r.arrived) >= r.timeout || now.Sub(r.arrivedWall) >= r.timeout
 }
--- a/entry/slot/queue.go
+++ b/entry/slot/queue.go
@@ -65,12 +65,13 @@
 }
 
 // configure takes the caps over.
-func (q *queue) configure(service *intent.Service) {
+func (q *queue) configure(service *intent.Service, paired bool) {
 	shares := make(map[string]*share)
 	for _, region := range service.Regions {
 		known := q.shares[region.Name]
 		if known == nil {
 			known = newShare()
+			known.fresh = !paired
 		}
 		known.caps = region
 		known.ramp = time.Duration(service.Ramp)
@@ -162,6 +163,21 @@
 	return !now.Add(wait + q.hold).After(deadline)
 }
 
+// briefWait is how long a request waits for the caps where it shall not wait.
+const briefWait = 20 * time.Millisecond
+
+// brief reports whether a slot is free for a request, and the caps let it through
+// soon.
+func (q *queue) brief(l *Ledger, ask Ask, now time.Time) bool {
+	free := 0
+	for _, known := range q.servers {
+		if known.takes(ask) {
+			free += max(0, l.usable(known, now)-known.inUse)
+		}
+	}
+	return free > q.count && q.rateWait(ask, now, q.count+1) <= briefWait
+}
+
 // rateWait returns how long the caps make the request at a position wait, in the
 // region that lets it through first.
 func (q *queue) rateWait(ask Ask, now time.Time, position int) time.Duration {
--- a/entry/slot/share.go
+++ b/entry/slot/share.go
@@ -25,6 +25,8 @@
 	slots int
 	owned int
 
+	// fresh says that the buckets begin full, for want of any other owner.
+	fresh bool
 	all   *rate.Limiter
 	moved *rate.Limiter
 	// shiftStart is when other regions began to move requests here, shiftLast the
@@ -51,6 +53,11 @@
 	}
 	setRate(s.all, now, s.caps.MaxRate*part)
 	setRate(s.moved, now, s.caps.ShiftRate*part*s.shiftFraction(now))
+	if s.fresh && s.owned > 0 {
+		s.fresh = false
+		s.all.ReserveN(now, -s.all.Burst())
+		s.moved.ReserveN(now, -s.moved.Burst())
+	}
 }
 
 // burstDivisor is the part, in requests a second, for each further request that
--- a/entry/steering/steering.go
+++ b/entry/steering/steering.go
@@ -57,7 +57,7 @@
 	// latencyUnit is the delay that costs as much as a full place, at equal weights.
 	latencyUnit = 50 * time.Millisecond
 	// staleLimit is the age past which a place's figures count as unknown.
-	staleLimit = 5 * time.Second
+	staleLimit = 30 * time.Second
 	// equalCost is the difference of costs, as a part of all weights, below which
 	// places count as equal.
 	equalCost = 0.1
