--- a/entry/machine.go
+++ b/entry/machine.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"crypto/subtle"
+	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,6 +22,7 @@
 	"github.com/teaselstack/teaselstack/entry/dispatch"
 	"github.com/teaselstack/teaselstack/entry/health"
 	"github.com/teaselstack/teaselstack/entry/key"
+	"github.com/teaselstack/teaselstack/entry/lease"
 	"github.com/teaselstack/teaselstack/entry/link"
 	"github.com/teaselstack/teaselstack/entry/lookup"
 	"github.com/teaselstack/teaselstack/entry/membership"
@@ -36,11 +39,13 @@
 
 // machine is one running entry: its parts, wired together.
 type machine struct {
-	settings   settings.Settings
-	logger     *log.Logger
-	metrics    metrics.Registry
-	started    time.Time
-	stopping   atomic.Bool
+	settings settings.Settings
+	logger   *log.Logger
+	metrics  metrics.Registry
+	started  time.Time
+	stopping atomic.Bool
+	// refusing is set once new requests are refused.
+	refusing   atomic.Bool
 	events     *timeline.Ring
 	keeper     *configuration.Keeper
 	roster     *membership.Roster
@@ -52,6 +57,11 @@
 	suspects   quarantine.List
 	dispatcher *dispatch.Dispatcher
 	lookups    *lookup.Server
+	peers      *http.Client
+	seat       *lease.Seat
+	// superseded is closed when another process has this entry's seat.
+	superseded     chan struct{}
+	supersededOnce sync.Once
 }
 
 const (
@@ -67,23 +77,38 @@
 )
 
 func newMachine(loaded settings.Settings, logger *log.Logger) *machine {
+	return newMachineOn(loaded, logger, func(transport http.RoundTripper) platform.Platform {
+		return platform.NewClient(loaded.Platform, &http.Client{
+			Transport: transport,
+			Timeout:   platformTimeout,
+		}).Platform()
+	})
+}
+
+// newMachineOn returns an entry on a platform that is reached by a transport.
+func newMachineOn(loaded settings.Settings, logger *log.Logger, connect func(http.RoundTripper) platform.Platform) *machine {
 	clock := &timeline.Clock{}
 	started := time.Now()
 	m := &machine{
-		settings: loaded,
-		logger:   logger,
-		metrics:  metrics.NewRegistry(),
-		started:  started,
-		events:   timeline.NewRing(loaded.Name, loaded.Limits.TimelineEvents, clock),
+		settings:   loaded,
+		logger:     logger,
+		metrics:    metrics.NewRegistry(),
+		started:    started,
+		superseded: make(chan struct{}),
+		events:     timeline.NewRing(loaded.Name, loaded.Limits.TimelineEvents, clock),
 	}
-	service := platform.NewClient(loaded.Platform, &http.Client{
-		Transport: m.newTransport(),
-		Timeout:   platformTimeout,
-	}).Platform()
+	m.peers = m.peerClient()
+	service := connect(m.newTransport())
 	m.keeper = &configuration.Keeper{
-		Platform: service,
-		Events:   m.events,
-		Changed:  m.configure,
+		Platform:     service,
+		Fetch:        m.fetchConfiguration,
+		AsksPlatform: func() bool { return m.roster.First() },
+		Introduced:   func() bool { return m.roster.Introduced() },
+		Events:       m.events,
+		Changed:      m.configure,
+		Settled: func() {
+			m.roster.Update(func(self *teaselv1.Member) { self.Serving = true })
+		},
 	}
 	m.slots = &slot.Ledger{
 		Entry:     loaded.Name,
@@ -101,7 +126,8 @@
 	m.links = &link.Shaper{
 		Region: loaded.Region,
 	}
-	m.keys = key.New(loaded.Name, uint64(started.UnixNano()), service.Table, m.keyOptions()...)
+	m.seat = m.takeSeat(service.Table)
+	m.keys = key.New(loaded.Name, m.seat.Incarnation(), service.Table, m.keyOptions()...)
 	m.view = &steering.View{
 		Entry:         loaded.Name,
 		Configuration: m.keeper.Current,
@@ -112,17 +138,18 @@
 	m.view.Peer = m.roster.Peer
 	m.dispatcher = m.newDispatcher()
 	m.lookups = &lookup.Server{
-		Configuration: m.keeper.Current,
+		Configuration: m.keeper.Serving,
 		Places:        m.view.Places,
 		Entries:       m.answerable,
 		Issue:         m.keys.Issue,
+		Stopping:      func() bool { return m.roster.Self().GetStopping() },
 		Region:        loaded.Region,
 	}
 	return m
 }
 
 func (m *machine) newRoster(clock *timeline.Clock) *membership.Roster {
-	client := m.peerClient()
+	client := m.peers
 	self := &teaselv1.Member{
 		Name:            m.settings.Name,
 		Incarnation:     m.keys.Incarnation(),
@@ -141,10 +168,58 @@
 		membership.WithTimeline(clock, m.events),
 		membership.WithPart(m.view.Part()),
 		membership.WithPart(m.slots.Part()),
+		membership.WithPart(m.keeper.Part()),
 		membership.WithPart(m.suspects.Part()),
+		membership.WithSuperseded(m.giveUpSeat),
 	)
 }
 
+// takeSeat takes this entry's seat under a higher incarnation than any before.
+func (m *machine) takeSeat(table platform.Table) *lease.Seat {
+	seat := &lease.Seat{
+		Entry:       m.settings.Name,
+		PeerAddress: m.settings.PeersAddress,
+		Peers:       m.settings.Peers,
+		Table:       table,
+		Events:      m.events,
+		Lost:        m.giveUpSeat,
+		Ask: func(ctx context.Context, address string) (uint64, error) {
+			response, err := teaselv1.NewPeerServiceProtobufClient("http://"+address, m.peers).
+				Seat(ctx, &teaselv1.SeatRequest{
+					Entry: m.settings.Name,
+				})
+			return response.GetIncarnation(), err
+		},
+	}
+	seat.Take(context.Background())
+	return seat
+}
+
+// giveUpSeat stops this process: another one has its seat, and a higher
+// incarnation.
+func (m *machine) giveUpSeat(incarnation uint64) {
+	m.supersededOnce.Do(func() {
+		m.events.Record(timeline.Event{
+			Kind:   "seat-lost",
+			Detail: fmt.Sprintf("to incarnation=%d", incarnation),
+		})
+		m.logger.Error().Str("event", "seat-lost").Uint64("to", incarnation).Msg("")
+		close(m.superseded)
+	})
+}
+
+// fetchConfiguration asks a peer for the steps after a version.
+func (m *machine) fetchConfiguration(ctx context.Context, address string, after uint64) ([]*teaselv1.Delta, error) {
+	response, err := teaselv1.NewPeerServiceProtobufClient("http://"+address, m.peers).
+		FetchConfiguration(ctx, &teaselv1.FetchConfigurationRequest{
+			After: after,
+		})
+	if err != nil {
+		return nil, errors.Wrap(err, "fetch configuration")
+	}
+	return response.GetDeltas(), nil
+}
+
 // peerClient returns a client that authenticates itself to peers.
 func (m *machine) peerClient() *http.Client {
 	return &http.Client{
@@ -184,7 +259,7 @@
 		Region:        m.settings.Region,
 		PeerKey:       m.settings.PeerKey,
 		MaxDeadline:   time.Duration(m.settings.Limits.MaxDeadline),
-		Configuration: m.keeper.Current,
+		Configuration: m.keeper.Serving,
 		Places:        m.view.Places,
 		PeerAddress:   m.peerAddress,
 		Observe:       m.health.Observe,
@@ -202,7 +277,7 @@
 
 // keyOptions lets the register of keys ask other claimants.
 func (m *machine) keyOptions() []key.Option {
-	client := m.peerClient()
+	client := m.peers
 	options := []key.Option{
 		key.WithAsk(func(ctx context.Context, entry string, request *teaselv1.KeyRequest) (*teaselv1.KeyResponse, error) {
 			address := m.peerAddress(entry)
@@ -219,11 +294,7 @@
 }
 
 func (m *machine) peerAddress(name string) string {
-	peer, known := m.roster.Peer(name)
-	if !known {
-		return ""
-	}
-	return peer.Member.GetPeerAddress()
+	return m.roster.Address(name)
 }
 
 // configure takes a new configuration over in all parts.
@@ -250,22 +321,21 @@
 	return names
 }
 
-// answerable lists the entries that look-ups may name.
+// answerable lists the entries that look-ups may name: alive, with a
+// configuration that they serve, and not stopping.
 func (m *machine) answerable() []*teaselv1.Member {
 	var members []*teaselv1.Member
-	if self := m.roster.Self(); !self.GetStopping() {
-		members = append(members, self)
-	}
-	for _, peer := range m.roster.Peers() {
-		if peer.State == membership.Alive && !peer.Member.GetStopping() {
-			members = append(members, peer.Member)
+	self := []*teaselv1.Member{m.roster.Self()}
+	for _, member := range slices.Concat(self, m.roster.AliveMembers()) {
+		if member.GetServing() && !member.GetStopping() {
+			members = append(members, member)
 		}
 	}
 	return members
 }
 
 func (m *machine) ready() bool {
-	return m.keeper.Current() != nil && !m.stopping.Load()
+	return m.keeper.Serving() != nil && !m.stopping.Load()
 }
 
 // serve runs until ctx is done, then shuts down gracefully.
@@ -274,6 +344,7 @@
 	defer stopBackground()
 	var group sync.WaitGroup
 	group.Go(func() { m.keeper.Run(background) })
+	group.Go(func() { m.seat.Watch(background) })
 	group.Go(func() { m.roster.Run(background) })
 	group.Go(func() { m.slots.Run(background) })
 	group.Go(func() { m.health.Run(background) })
@@ -295,6 +366,8 @@
 	var failure error
 	select {
 	case <-ctx.Done():
+	case <-m.superseded:
+		failure = errors.New("another process has this entry's seat")
 	case failure = <-failures:
 	}
 	err := m.shutdown(servers)
@@ -306,35 +379,6 @@
 	return err
 }
 
-// shutdown leaves the look-ups, waits out the answers that callers cache, and
-// lets the requests in flight end.
-func (m *machine) shutdown(servers []*http.Server) error {
-	m.stopping.Store(true)
-	m.roster.Update(func(self *teaselv1.Member) { self.Stopping = true })
-	m.events.Record(timeline.Event{
-		Kind: "entry-stopping",
-	})
-	m.logger.Info().Str("event", "stopping").Msg("")
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(m.settings.Limits.StopTimeout))
-	defer cancel()
-	if current := m.keeper.Current(); current != nil {
-		select {
-		case <-time.After(time.Duration(current.Deployment.Lookup.Lifetime)):
-		case <-ctx.Done():
-		}
-	}
-	err := m.dispatcher.Stop(ctx)
-	for _, server := range servers {
-		if shutdownErr := server.Shutdown(ctx); err == nil {
-			err = shutdownErr
-		}
-	}
-	if err != nil {
-		return errors.Wrap(err, "shut down")
-	}
-	return nil
-}
-
 func (m *machine) newServer(handler http.Handler) *http.Server {
 	limits := m.settings.Limits
 	return &http.Server{
@@ -349,7 +393,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(teaselv1connect.NewLookupServiceHandler(m.lookups, connect.WithReadMaxBytes(m.settings.Limits.HeaderBytes)))
 	mux.HandleFunc("/", m.dispatcher.ServeCaller)
-	return mux
+	return m.leaving(mux)
 }
 
 func (m *machine) peersHandler() http.Handler {
@@ -426,6 +470,14 @@
 	}, nil
 }
 
+// Seat says which incarnation of an entry this one knows.
+func (p peerServer) Seat(_ context.Context, request *teaselv1.SeatRequest) (*teaselv1.SeatResponse, error) {
+	peer, _ := p.machine.roster.Peer(request.GetEntry())
+	return &teaselv1.SeatResponse{
+		Incarnation: peer.Member.GetIncarnation(),
+	}, nil
+}
+
 // Key says what became of a key.
 func (p peerServer) Key(ctx context.Context, request *teaselv1.KeyRequest) (*teaselv1.KeyResponse, error) {
 	return p.machine.keys.Tell(ctx, request), nil
--- a/measure/capacity/configuration.go
+++ b/measure/capacity/configuration.go
@@ -157,14 +157,14 @@
 }
 
 func mustApply(keeper *configuration.Keeper, delta *teaselv1.Delta) {
-	if err := keeper.Apply(delta, "measurement"); err != nil {
+	if err := keeper.Apply([]*teaselv1.Delta{delta}, "measurement"); err != nil {
 		panic("apply the measured change: " + err.Error())
 	}
 }
 
 // Publishing counts what one publication asks of the platform.
-func Publishing() Calls {
-	var calls Calls
+func Publishing() *Calls {
+	calls := &Calls{}
 	store := calls.Count((&memory.Store{}).Platform())
 	publisher := &publication.Publisher{
 		Platform: store,
@@ -185,7 +185,9 @@
 	if err != nil {
 		panic("read the measured publication: " + err.Error())
 	}
-	if _, err := publisher.Publish(ctx, current, documents); err != nil {
+	if _, err := publisher.Publish(ctx, current, publication.Change{
+		Documents: documents,
+	}); err != nil {
 		panic("publish the measured documents: " + err.Error())
 	}
 }
