--- a/entry/dispatch/retry_test.go
+++ b/entry/dispatch/retry_test.go
@@ -129,7 +129,10 @@
 			})
 		}
 		for _, s := range f.servers {
-			assert.Assert(t, s.most <= 3, "%s had %d requests at once", s.name, s.most)
+			s.mu.Lock()
+			most := s.most
+			s.mu.Unlock()
+			assert.Assert(t, most <= 3, "%s had %d requests at once", s.name, most)
 		}
 	})
 }
