--- a/entry/machine.go
+++ b/entry/machine.go
@@ -315,7 +315,7 @@
 	m.slots.Configure(next)
 	m.health.Configure(next)
 	m.links.Configure(next)
-	partners := slot.NewSeating(next).Partners(m.settings.Name)
+	partners := m.slots.Partners()
 	m.partners.Store(&partners)
 	m.keys.Share(len(next.Deployment.Entries))
 	m.roster.Update(func(self *teaselv1.Member) {
@@ -417,7 +417,7 @@
 		Handler:           handler,
 		ReadHeaderTimeout: time.Duration(limits.HeaderTimeout),
 		IdleTimeout:       time.Duration(limits.IdleTimeout),
-		MaxHeaderBytes:    limits.HeaderBytes,
+		MaxHeaderBytes:    headerSlack * limits.HeaderBytes,
 	}
 }
 
@@ -425,7 +425,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(teaselv1connect.NewLookupServiceHandler(m.lookups, connect.WithReadMaxBytes(m.settings.Limits.HeaderBytes)))
 	mux.HandleFunc("/", m.dispatcher.ServeCaller)
-	return m.leaving(mux)
+	return m.leaving(bounded(m.settings.Limits.HeaderBytes, mux))
 }
 
 func (m *machine) peersHandler() http.Handler {
