--- a/entry/dispatch/forward.go
+++ b/entry/dispatch/forward.go
@@ -97,6 +97,7 @@
 			Caller:     req.Caller,
 			FromRegion: req.Region,
 			Exclude:    excluded,
+			Immediate:  req.immediate,
 		})
 		switch {
 		case errors.Is(err, slot.ErrNoServer):
--- a/entry/dispatch/request.go
+++ b/entry/dispatch/request.go
@@ -38,6 +38,8 @@
 	Region string
 	// Hops counts the entries that the request has passed.
 	Hops int
+	// immediate says that the attempt at hand is refused rather than let wait.
+	immediate bool
 
 	incoming *http.Request
 	arrived  time.Time
--- a/entry/dispatch/route.go
+++ b/entry/dispatch/route.go
@@ -14,6 +14,9 @@
 const (
 	// maxAttempts bounds how often one request is sent to a home.
 	maxAttempts = 4
+	// maxImmediate bounds the homes that are asked for a free slot before the
+	// request waits at the first of them.
+	maxImmediate = 3
 	// retryShare is the part of a service's requests that may be retried after
 	// they reached a backend server, so that retries never multiply an overload.
 	retryShare = 0.1
@@ -21,16 +24,30 @@
 	retryBurst = 10
 )
 
+// candidate is a home that a request may be sent to.
+type candidate struct {
+	place steering.Place
+	// immediate says that the request shall not wait there: another place may have
+	// a free slot, and only the homes know their own for certain.
+	immediate bool
+}
+
 // route tries homes in their order until one gives an answer that ends the
 // request. A backend server is tried once at most.
 func (d *Dispatcher) route(ctx context.Context, req *Request) answer {
 	d.retries.earn(req.Service.Name)
-	var places []steering.Place
+	var places []candidate
 	for _, ranked := range d.Places(req.Service, req.Region) {
-		if ranked.Allowed {
-			places = append(places, ranked.Place)
+		if ranked.Allowed && len(places) < maxImmediate {
+			places = append(places, candidate{
+				place:     ranked.Place,
+				immediate: true,
+			})
 		}
 	}
+	if len(places) == 1 {
+		places[0].immediate = false
+	}
 	last := refused(outcome.End(outcome.Held, outcome.ReasonNoBackendServer, "no home of the service can be reached"))
 	var ran *answer
 	var excluded []string
@@ -38,9 +55,10 @@
 		if attempt > 0 && !d.mayRetry(ctx, req, last) {
 			break
 		}
-		place := places[0]
+		next := places[0]
 		places = places[1:]
-		last = d.attempt(ctx, req, place, excluded)
+		req.immediate = next.immediate
+		last = d.attempt(ctx, req, next.place, excluded)
 		if last.response != nil {
 			return last
 		}
@@ -50,7 +68,10 @@
 		}
 		if last.server != "" {
 			excluded = append(excluded, last.server)
-			places = append(places, place)
+		}
+		if last.server != "" || next.immediate && last.outcome.Reason == outcome.ReasonNoRoom {
+			next.immediate = false
+			places = append(places, next)
 		}
 	}
 	if ran != nil {
--- a/entry/slot/slot.go
+++ b/entry/slot/slot.go
@@ -68,6 +68,8 @@
 	FromRegion string
 	// Exclude names backend servers that already failed the request.
 	Exclude []string
+	// Immediate refuses where the request would have to wait for a slot.
+	Immediate bool
 }
 
 // Ledger counts the slots in use on each backend server that has a seat at
@@ -194,7 +196,7 @@
 			next[backend.Name] = known
 			waiting.servers = append(waiting.servers, known)
 		}
-		waiting.configure(service)
+		waiting.configure(service, l.Paired)
 		queues[service.Name] = waiting
 	}
 	for _, known := range l.peers {
@@ -302,7 +304,7 @@
 		}
 	}
 	deadline, bounded := ctx.Deadline()
-	if !waiting.mayWait(l, ask, now, deadline, bounded) {
+	if ask.Immediate && !waiting.brief(l, ask, now) || !waiting.mayWait(l, ask, now, deadline, bounded) {
 		l.mu.Unlock()
 		return nil, ErrNoRoom
 	}
--- a/header/header.go
+++ b/header/header.go
@@ -46,6 +46,9 @@
 	// InternalServer names, in a request, what the receiver is asked to be: see
 	// dispatch.ServePeer; in a refusal, the backend server that was tried.
 	InternalServer = InternalPrefix + "Server"
+	// InternalImmediate is set on a request that its home refuses rather than lets
+	// wait for a slot.
+	InternalImmediate = InternalPrefix + "Immediate"
 	// InternalExclude lists the backend servers that failed the request already,
 	// with commas between.
 	InternalExclude = InternalPrefix + "Exclude"
