A first sending under a replaced entry's ticket is told not run

The caller's word that it never sent the ticket holds there too, so a planned replacement costs the holders of unused tickets a new look-up and no unknown.

--- a/entry/dispatch/outcome_test.go
+++ b/entry/dispatch/outcome_test.go
@@ -91,6 +91,12 @@
 			key:   "foreign ticket",
 			fault: func(f *fleet) { f.replace("entry-1") },
 		},
+		{
+			name:  "ticket of a replaced entry, sent first",
+			key:   "foreign ticket",
+			first: true,
+			fault: func(f *fleet) { f.replace("entry-1") },
+		},
 		{
 			name:  "ticket of an entry that is cut off",
 			key:   "foreign ticket",
--- a/entry/dispatch/relay.go
+++ b/entry/dispatch/relay.go
@@ -43,8 +43,8 @@
 func (d *Dispatcher) relayToIssuer(ctx context.Context, req *Request, issuer string) answer {
 	phase := phaseBeforeClaim(req.incoming)
 	address := d.PeerAddress(issuer)
-	if address == "" {
-		return refused(outcome.End(outcome.Elsewhere, outcome.ReasonIssuerGone, "entry "+issuer+" is not known"))
+	if address == "" || issuer == d.Entry {
+		return refused(outcome.End(phase, outcome.ReasonIssuerGone, "entry "+issuer+" is not known, or was replaced"))
 	}
 	region := ""
 	if configuration := d.Configuration(); configuration.Entry(issuer) != nil {
--- a/entry/key/key.go
+++ b/entry/key/key.go
@@ -205,7 +205,7 @@
 	ticket, is := ParseTicket(use.Key)
 	switch {
 	case is && !r.Issued(ticket):
-		return nil, refuse(outcome.Elsewhere, outcome.ReasonIssuerGone, "the ticket was issued by another process of entry "+ticket.Entry)
+		return nil, refuse(use.Phase(), outcome.ReasonIssuerGone, "the ticket was issued by another process of entry "+ticket.Entry)
 	case is && !r.genuine(ticket), !is && strings.HasPrefix(use.Key, TicketPrefix):
 		return nil, refuse(outcome.Held, outcome.ReasonKeyForged, "no look-up has given out this ticket")
 	}
