--- a/entry/dispatch/request.go
+++ b/entry/dispatch/request.go
@@ -250,14 +250,16 @@
 }
 
 // setTimeout bounds a request by what its caller waits for, the service's
-// deadline and the entry's own limit, reading and writing included.
+// deadline and the entry's own limit, reading and writing included. No request
+// outlives the service's deadline: an entry that takes its backend server over
+// counts on that.
 func (d *Dispatcher) setTimeout(w http.ResponseWriter, req *Request) {
 	req.arrived = time.Now()
 	req.arrivedWall = req.arrived.Round(0)
 	req.timeout = time.Duration(req.Service.Deadline)
 	if text := req.incoming.Header.Get(header.TimeoutMS); text != "" {
 		if value, err := strconv.ParseInt(text, 10, 32); err == nil && value > 0 {
-			req.timeout = time.Duration(value) * time.Millisecond
+			req.timeout = min(req.timeout, time.Duration(value)*time.Millisecond)
 		}
 	}
 	if d.MaxDeadline > 0 {
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -8,7 +8,9 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -46,8 +48,9 @@
 	Mark    string
 	Keys    []string
 	Outcome outcome.Kind
-	// Reason is the entry's, or NoAnswer.
+	// Reason is the entry's, or NoAnswer. Detail is what it says to a person.
 	Reason outcome.Reason
+	Detail string
 	// Wrong is set when the answer did not match the request.
 	Wrong    bool
 	Attempts int
@@ -63,6 +66,8 @@
 	maxPause   = 500 * time.Millisecond
 	// grace is how long a caller waits past its own deadline.
 	grace = 2 * time.Second
+	// maxDetail is how much of a refusal's text is kept, in bytes.
+	maxDetail = 300
 	// lookupTimeout bounds one look-up.
 	lookupTimeout = 3 * time.Second
 )
@@ -71,6 +76,7 @@
 type attempt struct {
 	outcome outcome.Kind
 	reason  outcome.Reason
+	detail  string
 	wrong   bool
 	// retryAt is the entry that the refusal names, or "".
 	retryAt string
@@ -92,7 +98,8 @@
 	address := ""
 	for ctx.Err() == nil {
 		tried := c.try(ctx, asked, address, &result)
-		result.Outcome, result.Reason, result.Wrong = tried.outcome, tried.reason, tried.wrong
+		result.Outcome, result.Reason = tried.outcome, tried.reason
+		result.Detail, result.Wrong = tried.detail, tried.wrong
 		if tried.outcome == outcome.Done || tried.outcome == outcome.Unknown && asked.method != http.MethodGet {
 			break
 		}
@@ -128,10 +135,11 @@
 			return notSent
 		}
 	}
-	if key != "" {
+	first := key != "" && !slices.Contains(result.Keys, key)
+	if first {
 		result.Keys = append(result.Keys, key)
 	}
-	tried, err := c.exchange(ctx, asked, address, key)
+	tried, err := c.exchange(ctx, asked, address, key, first)
 	if err != nil {
 		c.forget(asked.service)
 	}
@@ -204,7 +212,7 @@
 
 // exchange sends the request to one entry. An error says that the entry gave no
 // outcome.
-func (c *caller) exchange(ctx context.Context, asked request, address, key string) (attempt, error) {
+func (c *caller) exchange(ctx context.Context, asked request, address, key string, first bool) (attempt, error) {
 	var connected bool
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected = true },
@@ -217,17 +225,22 @@
 	}
 	out := asked.build(traced, address, key)
 	out.Header.Set(header.TimeoutMS, strconv.FormatInt(max(1, time.Until(deadline(ctx)).Milliseconds()), 10))
+	if first {
+		out.Header.Set(header.FirstSend, "true")
+	}
 	response, err := c.http.Do(out)
 	if err != nil {
 		if !connected {
 			lost.outcome = outcome.NotRun
 		}
+		lost.detail = err.Error()
 		return lost, err
 	}
 	content, err := io.ReadAll(response.Body)
 	_ = response.Body.Close()
 	kind := outcome.Parse(response.Header.Get(header.Outcome))
 	if err != nil {
+		lost.detail = err.Error()
 		return lost, err
 	}
 	tried := attempt{
@@ -237,6 +250,8 @@
 	}
 	if kind == outcome.Done {
 		tried.wrong = !asked.matches(content)
+	} else {
+		tried.detail = strings.TrimSpace(string(content[:min(len(content), maxDetail)]))
 	}
 	return tried, nil
 }
