--- /dev/null
+++ b/entry/lookup/lookup_test.go
@@ -0,0 +1,130 @@
+package lookup_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"testing"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+
+	teaselv1 "github.com/teaselstack/teaselstack/api/teasel/v1"
+	"github.com/teaselstack/teaselstack/entry/lookup"
+	"github.com/teaselstack/teaselstack/entry/steering"
+	"github.com/teaselstack/teaselstack/intent"
+	"github.com/teaselstack/teaselstack/publication"
+)
+
+// newServer answers for the example's intents with seven entries alive, of which
+// entry-4 is the best home.
+func newServer(tb testing.TB) *lookup.Server {
+	tb.Helper()
+	documents, err := publication.Collect(os.DirFS("../../examples/kasikirjoitus/intents"))
+	assert.NilError(tb, err)
+	configuration, err := intent.Compile(1, documents)
+	assert.NilError(tb, err)
+	var members []*teaselv1.Member
+	for i, entry := range configuration.Deployment.Entries {
+		members = append(members, &teaselv1.Member{
+			Name:          entry.Name,
+			Region:        configuration.RegionOf(entry.FailureDomain),
+			FailureDomain: entry.FailureDomain,
+			CallerAddress: fmt.Sprintf("127.0.0.1:%d", 20010+i),
+		})
+	}
+	places := []steering.Ranked{{
+		Place: steering.Place{
+			Home: "entry-4",
+		},
+		Allowed: true,
+	}}
+	return &lookup.Server{
+		Configuration: func() *intent.Configuration { return configuration },
+		Places:        func(*intent.Service, string) []steering.Ranked { return places },
+		Entries:       func() []*teaselv1.Member { return members },
+		Issue:         func() string { return "ticket:entry-1:1:1" },
+		Region:        "fi-central",
+	}
+}
+
+func ask(server *lookup.Server, request *teaselv1.LookupRequest) (*teaselv1.LookupResponse, error) {
+	response, err := server.Lookup(context.Background(), connect.NewRequest(request))
+	if err != nil {
+		return nil, err
+	}
+	return response.Msg, nil
+}
+
+func TestLookup(t *testing.T) {
+	server := newServer(t)
+	found, err := ask(server, &teaselv1.LookupRequest{
+		Service:       "agent-desk",
+		CallerAddress: "10.2.0.1",
+		Tickets:       2,
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, found.GetReason(), "client block in se-east")
+	assert.Equal(t, found.GetEntries()[0].GetName(), "entry-4")
+	assert.Equal(t, len(found.GetTickets()), 2)
+
+	server.Stopping = func() bool { return true }
+	found, err = ask(server, &teaselv1.LookupRequest{
+		Service:       "agent-desk",
+		CallerAddress: "10.2.0.1",
+		Tickets:       2,
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, len(found.GetTickets()), 0, "a stopping entry issued tickets")
+}
+
+func TestRefusals(t *testing.T) {
+	server := newServer(t)
+	for name, test := range map[string]struct {
+		request *teaselv1.LookupRequest
+		code    connect.Code
+	}{
+		"unknown service": {
+			request: &teaselv1.LookupRequest{
+				Service:       "nothing",
+				CallerAddress: "10.2.0.1",
+			},
+			code: connect.CodeNotFound,
+		},
+		"no address": {
+			request: &teaselv1.LookupRequest{
+				Service: "agent-desk",
+			},
+			code: connect.CodeInvalidArgument,
+		},
+		"too many tickets": {
+			request: &teaselv1.LookupRequest{
+				Service:       "agent-desk",
+				CallerAddress: "10.2.0.1",
+				Tickets:       65,
+			},
+			code: connect.CodeInvalidArgument,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := ask(server, test.request)
+			assert.Equal(t, connect.CodeOf(err), test.code)
+			assert.ErrorContains(t, err, "not run")
+		})
+	}
+}
+
+// BenchmarkLookup measures the answer without its transport.
+func BenchmarkLookup(b *testing.B) {
+	server := newServer(b)
+	request := &teaselv1.LookupRequest{
+		Service:       "agent-desk",
+		CallerAddress: "10.2.0.1",
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := ask(server, request); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/standin/caller/load.go
+++ b/standin/caller/load.go
@@ -15,6 +15,7 @@
 	"golang.org/x/net/proxy"
 
 	"github.com/teaselstack/teaselstack/intent"
+	"github.com/teaselstack/teaselstack/outcome"
 	"github.com/teaselstack/teaselstack/standin/relay"
 	"github.com/teaselstack/teaselstack/standin/site"
 )
@@ -29,6 +30,8 @@
 	callers       []*caller
 	clients       []*http.Client
 
+	first   func(Result)
+
 	mu      sync.Mutex
 	results []Result
 }
@@ -46,6 +49,11 @@
 	return func(l *Load) { l.seed = seed }
 }
 
+// WithFirst sets what is told of the first request that was done.
+func WithFirst(first func(Result)) Option {
+	return func(l *Load) { l.first = first }
+}
+
 const (
 	defaultRate = 120
 	// callersPerRegion is how many callers each region has.
@@ -143,4 +151,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.results = append(l.results, result)
+	if l.first != nil && result.Outcome == outcome.Done {
+		l.first(result)
+		l.first = nil
+	}
 }
--- a/standin/commands.go
+++ b/standin/commands.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -107,7 +108,11 @@
 	if err != nil {
 		return err
 	}
-	load := caller.New(loaded, caller.WithRate(c.Rate), caller.WithSeed(c.Seed))
+	load := caller.New(loaded,
+		caller.WithRate(c.Rate),
+		caller.WithSeed(c.Seed),
+		caller.WithFirst(func(caller.Result) { fmt.Println(time.Now().Format(time.TimeOnly), "first request answered") }),
+	)
 	report := &caller.Report{
 		Results: load.Run(c.ctx, c.Duration),
 	}
--- a/standin/site/deployment_test.go
+++ b/standin/site/deployment_test.go
@@ -71,7 +71,7 @@
 // test.
 type deployment struct {
 	*site.Site
-	t         *testing.T
+	t         testing.TB
 	directory string
 	platform  *store.Server
 	fleet     *backend.Fleet
@@ -79,12 +79,15 @@
 	entries   map[string]*process
 }
 
-// start starts a deployment of the examples and publishes its intents.
-func start(t *testing.T, example string) *deployment {
+// start starts a deployment of the examples, its files changed, and publishes
+// its intents.
+func start(t testing.TB, example string, changes ...func([]byte) []byte) *deployment {
 	t.Helper()
-	t.Parallel()
+	if test, is := t.(*testing.T); is {
+		test.Parallel()
+	}
 	directory := filepath.Join(t.TempDir(), example)
-	rewrite(t, filepath.Join("../../examples", example), directory)
+	rewrite(t, filepath.Join("../../examples", example), directory, changes)
 	loaded, err := site.Load(directory)
 	assert.NilError(t, err)
 	d := &deployment{
@@ -106,10 +109,16 @@
 	return d
 }
 
+// withoutRelay lets entries connect directly.
+func withoutRelay(content []byte) []byte {
+	before, _, _ := bytes.Cut(content, []byte("[network]"))
+	return before
+}
+
 var addressPattern = regexp.MustCompile(`127\.0\.0\.1:\d+`)
 
 // rewrite copies an example to addresses of its own.
-func rewrite(t *testing.T, from, to string) {
+func rewrite(t testing.TB, from, to string, changes []func([]byte) []byte) {
 	t.Helper()
 	loopback := newLoopback()
 	fresh := make(map[string]string)
@@ -128,6 +137,9 @@
 			}
 			return []byte(fresh[string(old)])
 		})
+		for _, change := range changes {
+			content = change(content)
+		}
 		return os.WriteFile(path, content, 0o600)
 	}))
 }
