--- a/standin/caller/load.go
+++ b/standin/caller/load.go
@@ -30,7 +30,7 @@
 	callers       []*caller
 	clients       []*http.Client
 
-	first   func(Result)
+	first func(Result)
 
 	mu      sync.Mutex
 	results []Result
