Waiting requests leave a home that can no longer give them a slot

Cause: under load, a drain of the only server that entry-1 is home of left its waiting requests in the queue until their deadlines, because entry-1 also has the deputy's seat at other servers, which take work but whose slots are all the home's. Ruled out: starved heartbeats (leases of 3 s were kept), the relay. The queue is now emptied as soon as no slot of the entry can be used, and the dispatcher tries the next home. TestDrainLeavesNoUsableSlot: red without it, the request still waits.

--- a/entry/dispatch/request.go
+++ b/entry/dispatch/request.go
@@ -269,7 +269,9 @@
 	}
 	controller := http.NewResponseController(w)
 	deadline := req.arrived.Add(req.timeout)
-	_ = controller.SetReadDeadline(deadline)
+	// A read deadline that passes first would cancel the request as if its caller
+	// had left.
+	_ = controller.SetReadDeadline(deadline.Add(settleTime))
 	_ = controller.SetWriteDeadline(deadline.Add(settleTime))
 }
 
--- a/entry/slot/queue.go
+++ b/entry/slot/queue.go
@@ -266,7 +266,7 @@
 // pump gives free slots to waiting requests, one each. The caller holds the lock.
 func (l *Ledger) pump(q *queue, now time.Time) {
 	l.share(q, now)
-	if q.count > 0 && !slices.ContainsFunc(q.servers, (*server).open) {
+	if q.count > 0 && !l.anyUsable(q, now) {
 		q.refuseAll()
 	}
 	for q.count > 0 && l.anyFree(q, now) {
@@ -280,6 +280,14 @@
 	}
 }
 
+// anyUsable reports whether this entry may use a slot of some server that takes
+// new work. Without one, what waits is better tried at another home.
+func (l *Ledger) anyUsable(q *queue, now time.Time) bool {
+	return slices.ContainsFunc(q.servers, func(s *server) bool {
+		return s.open() && l.usable(s, now) > 0
+	})
+}
+
 func (l *Ledger) anyFree(q *queue, now time.Time) bool {
 	return slices.ContainsFunc(q.servers, func(s *server) bool {
 		return s.open() && s.inUse < l.usable(s, now)
--- a/entry/slot/queue_test.go
+++ b/entry/slot/queue_test.go
@@ -218,3 +218,45 @@
 		assert.DeepEqual(t, usable, []int{5, 6, 7, 8, 8, 8})
 	})
 }
+
+// TestDrainLeavesNoUsableSlot drains the server that this entry is home of while
+// a request waits. What is left is the lent part of another server's slots, so
+// the request is refused at once and can go to another home.
+func TestDrainLeavesNoUsableSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		// Each of the two is home of one server.
+		entries := []string{"one@north-a", "four@north-a"}
+		b := &bench{
+			t: t,
+			ledger: &Ledger{
+				Entry:  "four",
+				Paired: true,
+			},
+		}
+		configuration := compile(t, 1, entries, 3, openCaps)
+		b.ledger.Configure(configuration)
+		pair := &pairBench{
+			now:    time.Now(),
+			ledger: b.ledger,
+		}
+		for range 80 {
+			time.Sleep(tickInterval)
+			pair.now = time.Now()
+			pair.beat(1)
+			b.ledger.Tick()
+		}
+		held := b.fill(pair.usable())
+		b.enter("waiting", ask(Browse, "a"))
+		b.ledger.Configure(compile(t, 2, entries, 3, openCaps, intent.Document{
+			Name:    "drains/own.toml",
+			Content: []byte("kind = \"backend-server\"\nname = \"" + held[0].Server.Name + "\"\n"),
+		}))
+		pair.beat(2)
+		synctest.Wait()
+		assert.DeepEqual(t, b.order, []string{"waiting: no backend server"})
+		for _, grant := range held {
+			grant.Release()
+		}
+		b.group.Wait()
+	})
+}
