Cut-off test: the operator can't reach the cut failure domain either

teaselctl now offers an accepted version to the entries that its settings name, and it does not pass the relay, so it reached the cut entry: 2 != 1 in every run. The promise asserted is the same; the settings of the operator leave the entry out.

--- a/standin/site/deployment_test.go
+++ b/standin/site/deployment_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -251,6 +252,17 @@
 	return err
 }
 
+// leaveOut takes an entry out of the settings of teaselctl, which offers what it
+// publishes to the entries that they name.
+func (d *deployment) leaveOut(name string) {
+	file := filepath.Join(d.directory, "teaselctl.toml")
+	content, err := os.ReadFile(file)
+	assert.NilError(d.t, err)
+	address := strconv.Quote(d.entry(name).OperatorsAddress) + ", "
+	assert.Assert(d.t, bytes.Contains(content, []byte(address)))
+	assert.NilError(d.t, os.WriteFile(file, bytes.Replace(content, []byte(address), nil, 1), 0o600))
+}
+
 // show logs what a command of teaselctl prints.
 func (d *deployment) show(arguments ...string) {
 	command := exec.Command(filepath.Join(programs, "teaselctl"), arguments...)
--- a/standin/site/path_test.go
+++ b/standin/site/path_test.go
@@ -82,6 +82,8 @@
 		}
 		d.relay.SetCut(away, true)
 		d.relay.SetCut(back, true)
+		// The operator can't reach the cut failure domain either.
+		d.leaveOut("entry-4")
 		d.eventually("entry-4 counts as dead", func() bool { return d.allSee("entry-4", "dead") })
 		before := d.status("entry-4").GetConfigurationVersion()
 		assert.NilError(t, d.teaselctl("drain", "backend-server", "agent-desk-1"))
