An entry killed at each step of a request

Kill before the claim takes effect, after it, after dispatch and before the caller's answer, for own keys and tickets, alone and with the store going down just after; the repeats go to all entries.

A first form of this test hung: it slept under a sync.Once, whose mutex keeps a bubble's clock from advancing.

--- a/entry/dispatch/fleet_test.go
+++ b/entry/dispatch/fleet_test.go
@@ -55,7 +55,9 @@
 	storeDelay time.Duration
 	storeDown  bool
 	loseAnswer func() bool
-	born       uint64
+	// beforeCommit is called before a transaction takes effect.
+	beforeCommit func()
+	born         uint64
 }
 
 // node is one incarnation of an entry.
@@ -124,6 +126,7 @@
 		servers:       make(map[string]*server),
 		nodes:         make(map[string]*node),
 		loseAnswer:    func() bool { return false },
+		beforeCommit:  func() {},
 	}
 	for _, backend := range configuration.Service(service).BackendServers {
 		s := &server{
@@ -198,6 +201,7 @@
 		f.net.mu.Unlock()
 		f.net.resume(process)
 		f.net.crash(process)
+		f.net.resume(direction(process, "caller"))
 		closeCallers()
 		closePeers()
 		cancel()
@@ -307,6 +311,10 @@
 			if err := reach(); err != nil {
 				return nil, err
 			}
+			f.beforeCommit()
+			if f.net.isCut(process, "store") {
+				return nil, errStoreDown
+			}
 			revisions, err := f.store.Commit(ctx, writes)
 			if f.loseAnswer() {
 				err = errStoreDown
