--- a/measure/capacity/heartbeats.go
+++ b/measure/capacity/heartbeats.go
@@ -27,7 +27,7 @@
 	heartbeatInterval = 500 * time.Millisecond
 	// settling is how long rosters run before they are measured, and observed is
 	// how long they are measured.
-	settling = 3 * time.Second
+	settling = 8 * time.Second
 	observed = 5 * time.Second
 )
 
--- a/measure/capacity/store.go
+++ b/measure/capacity/store.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"sync"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/teaselstack/teaselstack/entry/key"
 	"github.com/teaselstack/teaselstack/measure/fleet"
 	"github.com/teaselstack/teaselstack/measure/slope"
@@ -65,37 +67,50 @@
 	return counted
 }
 
-// commitsPerEntry is the journal's default bound, a second.
-const commitsPerEntry = 40
+const (
+	// storeCommitRate is what the journals of all entries together commit at
+	// most, a second.
+	storeCommitRate = 300
+	// seatLooks is how often an entry looks at the row of its seat, a second.
+	seatLooks = 1.0 / 60
+)
 
 // Store works out the load on the platform from counted calls.
 func Store() []Row {
 	publishing := Publishing()
 	polling := polls()
-	changes := func(nodes float64) float64 { return ChangesPerSecond * nodes / float64(fleet.Target().Nodes) }
+	change := float64(proto.Size(Change(fleet.Target(), 2)))
 	return []Row{
-		storeRow("table reads by entries that look for a new version", StoreReads, "1 poll a second a node, counted", func(nodes float64) float64 {
-			return nodes * float64(polling.Reads)
+		storeRow("table reads for a new version", StoreReads, "one entry of each failure domain, a poll a second, counted", func(nodes float64) float64 {
+			return domainsOf(nodes) * float64(polling.Reads)
+		}),
+		storeRow("table reads of seats' rows", StoreReads, "one a minute and node", func(nodes float64) float64 {
+			return nodes * seatLooks
 		}),
-		storeRow("object bytes by entries that take a new version", 0, "a whole snapshot for each node and change", func(nodes float64) float64 {
-			return nodes * changes(nodes) * snapshotBytes(nodes)
+		storeRow("object bytes read for new versions", 0, "a measured delta for each failure domain and change", func(nodes float64) float64 {
+			return domainsOf(nodes) * change * changesOf(nodes)
 		}),
 		storeRow("table writes by publishing", StoreWrites, "counted for one publication", func(nodes float64) float64 {
-			return changes(nodes) * float64(publishing.Commits)
+			return changesOf(nodes) * float64(publishing.Commits)
 		}),
-		storeRow("most transactions by callers' own keys", StoreWrites, "each entry's journal may commit 40 a second", func(nodes float64) float64 {
-			return nodes * commitsPerEntry
+		storeRow("most transactions by callers' own keys", StoreWrites, "the journals' shares together", func(float64) float64 {
+			return storeCommitRate
+		}),
+		storeRow("longest wait of an own key for its entry's share, in s", 0, "nodes over the rate", func(nodes float64) float64 {
+			return nodes / storeCommitRate
 		}),
 		Claims(),
 	}
 }
 
-// snapshotBytes is the length of a whole configuration: a node's part of the
-// target's documents, from Configurations.
-func snapshotBytes(nodes float64) float64 {
-	size := fleet.Hundredth()
-	part := length(size.Documents()) + length(size.BlockDocuments())
-	return part * nodes / float64(size.Nodes)
+func changesOf(nodes float64) float64 {
+	return ChangesPerSecond * nodes / float64(fleet.Target().Nodes)
+}
+
+// domainsOf returns the failure domains of a fleet of nodes.
+func domainsOf(nodes float64) float64 {
+	target := fleet.Target()
+	return max(float64(fleet.Today().FailureDomains), nodes*float64(target.FailureDomains)/float64(target.Nodes))
 }
 
 func storeRow(quantity string, bound float64, note string, value func(nodes float64) float64) Row {
