--- a/entry/slot/slot.go
+++ b/entry/slot/slot.go
@@ -68,6 +68,8 @@
 	FromRegion string
 	// Exclude names backend servers that already failed the request.
 	Exclude []string
+	// Immediate refuses where the request would have to wait for a slot.
+	Immediate bool
 }
 
 // Ledger counts the slots in use on each backend server that has a seat at
@@ -194,7 +196,7 @@
 			next[backend.Name] = known
 			waiting.servers = append(waiting.servers, known)
 		}
-		waiting.configure(service)
+		waiting.configure(service, l.Paired)
 		queues[service.Name] = waiting
 	}
 	for _, known := range l.peers {
@@ -206,6 +208,17 @@
 	l.pumpAll(now)
 }
 
+// Partners returns the entry VMs with which this entry shares the slots of a
+// backend server.
+func (l *Ledger) Partners() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.seating == nil {
+		return nil
+	}
+	return l.seating.Partners(l.Entry)
+}
+
 // prepare makes the maps of a new ledger.
 func (l *Ledger) prepare() {
 	if l.peers != nil {
@@ -291,7 +304,7 @@
 		}
 	}
 	deadline, bounded := ctx.Deadline()
-	if !waiting.mayWait(l, ask, now, deadline, bounded) {
+	if ask.Immediate && !waiting.brief(l, ask, now) || !waiting.mayWait(l, ask, now, deadline, bounded) {
 		l.mu.Unlock()
 		return nil, ErrNoRoom
 	}
