Requests in flight are counted by a gate, not by a WaitGroup

Cause: Dispatcher.enter called Add while Stop waited, at a count of 0, which sync.WaitGroup forbids and may end the process during a graceful shutdown. Seen by reading, not by a run.

--- a/entry/dispatch/dispatch.go
+++ b/entry/dispatch/dispatch.go
@@ -6,8 +6,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -58,10 +56,8 @@
 	Backends http.RoundTripper
 	Peers    http.RoundTripper
 
-	stopping atomic.Bool
-	inFlight sync.WaitGroup
-	active   atomic.Int64
-	retries  budget
+	gate    gate
+	retries budget
 }
 
 // answer is what an attempt brought back: a response to copy, or an outcome.
@@ -87,11 +83,11 @@
 // ServeCaller serves callers' requests.
 func (d *Dispatcher) ServeCaller(w http.ResponseWriter, incoming *http.Request) {
 	header.StripInternal(incoming.Header)
-	if !d.enter() {
+	if !d.gate.enter() {
 		d.refuse(w, nil, refused(outcome.End(phaseBeforeClaim(incoming), outcome.ReasonStopping, "this entry is stopping")))
 		return
 	}
-	defer d.leave()
+	defer d.gate.leave()
 	req, bad := d.parse(w, incoming)
 	if bad != nil {
 		d.refuse(w, nil, refused(*bad))
@@ -124,11 +120,11 @@
 	if role == asIssuer {
 		phase = phaseBeforeClaim(incoming)
 	}
-	if !d.enter() {
+	if !d.gate.enter() {
 		d.refuse(w, nil, refused(outcome.End(phase, outcome.ReasonStopping, "this entry is stopping")))
 		return
 	}
-	defer d.leave()
+	defer d.gate.leave()
 	req, bad := d.parseRelayed(w, incoming, phase)
 	if bad != nil {
 		d.refuse(w, nil, refused(*bad))
@@ -163,40 +159,12 @@
 	d.deliver(w, req, d.route(ctx, req), claim)
 }
 
-// enter counts a request in, unless the entry is stopping.
-func (d *Dispatcher) enter() bool {
-	d.inFlight.Add(1)
-	d.active.Add(1)
-	if d.stopping.Load() {
-		d.leave()
-		return false
-	}
-	return true
-}
-
-func (d *Dispatcher) leave() {
-	d.active.Add(-1)
-	d.inFlight.Done()
-}
-
 // Active returns how many requests are in flight.
 func (d *Dispatcher) Active() int64 {
-	return d.active.Load()
+	return d.gate.inFlight()
 }
 
 // Stop refuses new requests and waits until ctx is done or none is in flight.
 func (d *Dispatcher) Stop(ctx context.Context) error {
-	d.stopping.Store(true)
-	done := make(chan struct{})
-	var group sync.WaitGroup
-	group.Go(func() {
-		d.inFlight.Wait()
-		close(done)
-	})
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return d.gate.shut(ctx)
 }
