--- a/entry/machine.go
+++ b/entry/machine.go
@@ -393,7 +393,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(teaselv1connect.NewLookupServiceHandler(m.lookups, connect.WithReadMaxBytes(m.settings.Limits.HeaderBytes)))
 	mux.HandleFunc("/", m.dispatcher.ServeCaller)
-	return m.leaving(bounded(m.settings.Limits.HeaderBytes, mux))
+	return observed(m.metrics, m.leaving(bounded(m.settings.Limits.HeaderBytes, mux)))
 }
 
 func (m *machine) peersHandler() http.Handler {
