--- a/entry/machine.go
+++ b/entry/machine.go
@@ -59,6 +59,9 @@
 	lookups    *lookup.Server
 	peers      *http.Client
 	seat       *lease.Seat
+	listing    membership.Listing
+	// partners are the entries that hold seats at the same backend servers.
+	partners atomic.Pointer[[]string]
 	// superseded is closed when another process has this entry's seat.
 	superseded     chan struct{}
 	supersededOnce sync.Once
@@ -97,8 +100,10 @@
 		superseded: make(chan struct{}),
 		events:     timeline.NewRing(loaded.Name, loaded.Limits.TimelineEvents, clock),
 	}
+	registerRuntime(m.metrics)
 	m.peers = m.peerClient()
 	service := connect(m.newTransport())
+	m.listing.Machines = service.Machines
 	m.keeper = &configuration.Keeper{
 		Platform:     service,
 		Fetch:        m.fetchConfiguration,
@@ -141,6 +146,7 @@
 		Configuration: m.keeper.Serving,
 		Places:        m.view.Places,
 		Entries:       m.answerable,
+		Entry:         m.answerableEntry,
 		Issue:         m.keys.Issue,
 		Stopping:      func() bool { return m.roster.Self().GetStopping() },
 		Region:        loaded.Region,
@@ -171,6 +177,13 @@
 		membership.WithPart(m.keeper.Part()),
 		membership.WithPart(m.suspects.Part()),
 		membership.WithSuperseded(m.giveUpSeat),
+		membership.WithListed(m.listing.Known),
+		membership.WithPartners(func() []string {
+			if names := m.partners.Load(); names != nil {
+				return *names
+			}
+			return nil
+		}),
 	)
 }
 
@@ -302,6 +315,8 @@
 	m.slots.Configure(next)
 	m.health.Configure(next)
 	m.links.Configure(next)
+	partners := slot.NewSeating(next).Partners(m.settings.Name)
+	m.partners.Store(&partners)
 	m.keys.Share(len(next.Deployment.Entries))
 	m.roster.Update(func(self *teaselv1.Member) {
 		self.ConfigurationVersion = next.Version
@@ -327,13 +342,29 @@
 	var members []*teaselv1.Member
 	self := []*teaselv1.Member{m.roster.Self()}
 	for _, member := range slices.Concat(self, m.roster.AliveMembers()) {
-		if member.GetServing() && !member.GetStopping() {
+		if answers(member) {
 			members = append(members, member)
 		}
 	}
 	return members
 }
 
+// answerableEntry returns one of the answerable entries by name, or nil.
+func (m *machine) answerableEntry(name string) *teaselv1.Member {
+	if self := m.roster.Self(); name == self.GetName() && answers(self) {
+		return self
+	}
+	peer, known := m.roster.Peer(name)
+	if !known || peer.State != membership.Alive || !answers(peer.Member) {
+		return nil
+	}
+	return peer.Member
+}
+
+func answers(member *teaselv1.Member) bool {
+	return member.GetServing() && !member.GetStopping()
+}
+
 func (m *machine) ready() bool {
 	return m.keeper.Serving() != nil && !m.stopping.Load()
 }
@@ -373,6 +404,7 @@
 	err := m.shutdown(servers)
 	stopBackground()
 	group.Wait()
+	m.listing.Wait()
 	if failure != nil {
 		return failure
 	}
