--- a/entry/lookup/lookup_test.go
+++ b/entry/lookup/lookup_test.go
@@ -43,8 +43,16 @@
 		Configuration: func() *intent.Configuration { return configuration },
 		Places:        func(*intent.Service, string) []steering.Ranked { return places },
 		Entries:       func() []*teaselv1.Member { return members },
-		Issue:         func() string { return "ticket:entry-1:1:1" },
-		Region:        "fi-central",
+		Entry: func(name string) *teaselv1.Member {
+			for _, member := range members {
+				if member.GetName() == name {
+					return member
+				}
+			}
+			return nil
+		},
+		Issue:  func() string { return "ticket:entry-1:1:1" },
+		Region: "fi-central",
 	}
 }
 
