--- a/entry/dispatch/request.go
+++ b/entry/dispatch/request.go
@@ -251,6 +251,11 @@
 	return touched, failure
 }
 
+// readGrace is how long after a request's deadline the reading from its caller
+// ends. A read deadline that passes first would cancel the request as if its
+// caller had left.
+const readGrace = 100 * time.Millisecond
+
 // setTimeout bounds a request by what its caller waits for, the service's
 // deadline and the entry's own limit, reading and writing included. No request
 // outlives the service's deadline: an entry that takes its backend server over
@@ -269,9 +274,7 @@
 	}
 	controller := http.NewResponseController(w)
 	deadline := req.arrived.Add(req.timeout)
-	// A read deadline that passes first would cancel the request as if its caller
-	// had left.
-	_ = controller.SetReadDeadline(deadline.Add(settleTime))
+	_ = controller.SetReadDeadline(deadline.Add(readGrace))
 	_ = controller.SetWriteDeadline(deadline.Add(settleTime))
 }
 
