A starting entry is named by look-ups once it can place requests

Ruled out: the end of the entries before, lost connections. It now waits until each service has a home that may be given requests, 10 s at most; /readyz says the same.

--- a/entry/lookup/lookup.go
+++ b/entry/lookup/lookup.go
@@ -99,6 +99,9 @@
 		answer.Reason = fmt.Sprintf("no client block covers %s; nearest to %s", caller, region)
 	}
 	answer.Entries = s.order(service, region)
+	if len(answer.Entries) == 0 {
+		return nil, connect.NewError(connect.CodeUnavailable, errors.New("not run: no entry serves yet"))
+	}
 	return answer, nil
 }
 
--- a/entry/machine.go
+++ b/entry/machine.go
@@ -62,6 +62,10 @@
 	listing    membership.Listing
 	// partners are the entries that hold seats at the same backend servers.
 	partners atomic.Pointer[[]string]
+	// settled is closed when the configuration that the entry starts with is
+	// known; enlisted is set once look-ups may name the entry.
+	settled  chan struct{}
+	enlisted atomic.Bool
 	// superseded is closed when another process has this entry's seat.
 	superseded     chan struct{}
 	supersededOnce sync.Once
@@ -100,6 +104,7 @@
 		logger:     logger,
 		metrics:    metrics.NewRegistry(),
 		started:    started,
+		settled:    make(chan struct{}),
 		superseded: make(chan struct{}),
 		events:     timeline.NewRing(loaded.Name, loaded.Limits.TimelineEvents, clock),
 	}
@@ -114,9 +119,7 @@
 		Introduced:   func() bool { return m.roster.Introduced() },
 		Events:       m.events,
 		Changed:      m.configure,
-		Settled: func() {
-			m.roster.Update(func(self *teaselv1.Member) { self.Serving = true })
-		},
+		Settled:      func() { close(m.settled) },
 	}
 	m.slots = &slot.Ledger{
 		Entry:     loaded.Name,
@@ -369,7 +372,7 @@
 }
 
 func (m *machine) ready() bool {
-	return m.keeper.Serving() != nil && !m.stopping.Load()
+	return m.enlisted.Load() && !m.stopping.Load()
 }
 
 // serve runs until ctx is done, then shuts down gracefully.
@@ -378,6 +381,7 @@
 	defer stopBackground()
 	var group sync.WaitGroup
 	group.Go(func() { m.keeper.Run(background) })
+	group.Go(func() { m.enlist(background) })
 	group.Go(func() { m.seat.Watch(background) })
 	group.Go(func() { m.roster.Run(background) })
 	group.Go(func() { m.slots.Run(background) })
--- a/standin/site/deployment_test.go
+++ b/standin/site/deployment_test.go
@@ -128,6 +128,13 @@
 	return before
 }
 
+var capPattern = regexp.MustCompile(`(max|shift)-rate = \d+`)
+
+// withoutCaps lifts the caps of the services.
+func withoutCaps(content []byte) []byte {
+	return capPattern.ReplaceAll(content, []byte("$1-rate = 1000000"))
+}
+
 var addressPattern = regexp.MustCompile(`127\.0\.0\.1:\d+`)
 
 // rewrite copies an example to addresses of its own.
