entry: machine.go split by matter: handlers, peers, seat

519 lines held wiring, listeners' handlers, calls to and from peers and the seat. Nothing but places changed; check and the program's tests green.

--- a/entry/machine.go
+++ b/entry/machine.go
@@ -2,22 +2,17 @@
 
 import (
 	"context"
-	"crypto/subtle"
-	"fmt"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/go-faster/errors"
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
 
 	teaselv1 "github.com/teaselstack/teaselstack/api/teasel/v1"
-	"github.com/teaselstack/teaselstack/api/teasel/v1/teaselv1connect"
 	"github.com/teaselstack/teaselstack/entry/configuration"
 	"github.com/teaselstack/teaselstack/entry/dispatch"
 	"github.com/teaselstack/teaselstack/entry/health"
@@ -26,12 +21,10 @@
 	"github.com/teaselstack/teaselstack/entry/link"
 	"github.com/teaselstack/teaselstack/entry/lookup"
 	"github.com/teaselstack/teaselstack/entry/membership"
-	"github.com/teaselstack/teaselstack/entry/operator"
 	"github.com/teaselstack/teaselstack/entry/quarantine"
 	"github.com/teaselstack/teaselstack/entry/settings"
 	"github.com/teaselstack/teaselstack/entry/slot"
 	"github.com/teaselstack/teaselstack/entry/steering"
-	"github.com/teaselstack/teaselstack/header"
 	"github.com/teaselstack/teaselstack/intent"
 	"github.com/teaselstack/teaselstack/platform"
 	"github.com/teaselstack/teaselstack/timeline"
@@ -193,74 +186,6 @@
 	)
 }
 
-// takeSeat takes this entry's seat under a higher incarnation than any before.
-func (m *machine) takeSeat(table platform.Table) *lease.Seat {
-	seat := &lease.Seat{
-		Entry:       m.settings.Name,
-		PeerAddress: m.settings.PeersAddress,
-		Peers:       m.settings.Peers,
-		Table:       table,
-		Events:      m.events,
-		Lost:        m.giveUpSeat,
-		Ask: func(ctx context.Context, address string) (uint64, error) {
-			response, err := teaselv1.NewPeerServiceProtobufClient("http://"+address, m.peers).
-				Seat(ctx, &teaselv1.SeatRequest{
-					Entry: m.settings.Name,
-				})
-			return response.GetIncarnation(), err
-		},
-	}
-	seat.Take(context.Background())
-	return seat
-}
-
-// giveUpSeat stops this process: another one has its seat, and a higher
-// incarnation.
-func (m *machine) giveUpSeat(incarnation uint64) {
-	m.supersededOnce.Do(func() {
-		m.events.Record(timeline.Event{
-			Kind:   "seat-lost",
-			Detail: fmt.Sprintf("to incarnation=%d", incarnation),
-		})
-		m.logger.Error().Str("event", "seat-lost").Uint64("to", incarnation).Msg("")
-		close(m.superseded)
-	})
-}
-
-// fetchConfiguration asks a peer for the steps after a version.
-func (m *machine) fetchConfiguration(ctx context.Context, address string, after uint64) ([]*teaselv1.Delta, error) {
-	response, err := teaselv1.NewPeerServiceProtobufClient("http://"+address, m.peers).
-		FetchConfiguration(ctx, &teaselv1.FetchConfigurationRequest{
-			After: after,
-		})
-	if err != nil {
-		return nil, errors.Wrap(err, "fetch configuration")
-	}
-	return response.GetDeltas(), nil
-}
-
-// peerClient returns a client that authenticates itself to peers.
-func (m *machine) peerClient() *http.Client {
-	return &http.Client{
-		Transport: authenticated{
-			key:  m.settings.PeerKey,
-			next: m.newTransport(),
-		},
-	}
-}
-
-// authenticated adds the peers' key to each call.
-type authenticated struct {
-	key  string
-	next http.RoundTripper
-}
-
-func (a authenticated) RoundTrip(request *http.Request) (*http.Response, error) {
-	request = request.Clone(request.Context())
-	request.Header.Set(header.InternalKey, a.key)
-	return a.next.RoundTrip(request)
-}
-
 // newTransport returns a transport to peers, backend servers or the platform.
 func (m *machine) newTransport() *http.Transport {
 	return &http.Transport{
@@ -312,10 +237,6 @@
 	return options
 }
 
-func (m *machine) peerAddress(name string) string {
-	return m.roster.Address(name)
-}
-
 // configure takes a new configuration over in all parts.
 func (m *machine) configure(next *intent.Configuration) {
 	m.slots.Configure(next)
@@ -331,46 +252,6 @@
 	m.logger.Info().Str("event", "configuration-in-force").Uint64("version", next.Version).Msg("")
 }
 
-// running lists the peers that are not known to be dead.
-func (m *machine) running() []string {
-	var names []string
-	for _, peer := range m.roster.Peers() {
-		if peer.State == membership.Alive || peer.State == membership.Suspect {
-			names = append(names, peer.Member.GetName())
-		}
-	}
-	return names
-}
-
-// answerable lists the entries that look-ups may name: alive, with a
-// configuration that they serve, and not stopping.
-func (m *machine) answerable() []*teaselv1.Member {
-	var members []*teaselv1.Member
-	self := []*teaselv1.Member{m.roster.Self()}
-	for _, member := range slices.Concat(self, m.roster.AliveMembers()) {
-		if answers(member) {
-			members = append(members, member)
-		}
-	}
-	return members
-}
-
-// answerableEntry returns one of the answerable entries by name, or nil.
-func (m *machine) answerableEntry(name string) *teaselv1.Member {
-	if self := m.roster.Self(); name == self.GetName() && answers(self) {
-		return self
-	}
-	peer, known := m.roster.Peer(name)
-	if !known || peer.State != membership.Alive || !answers(peer.Member) {
-		return nil
-	}
-	return peer.Member
-}
-
-func answers(member *teaselv1.Member) bool {
-	return member.GetServing() && !member.GetStopping()
-}
-
 func (m *machine) ready() bool {
 	return m.enlisted.Load() && !m.stopping.Load()
 }
@@ -417,107 +298,3 @@
 	}
 	return err
 }
-
-func (m *machine) newServer(handler http.Handler) *http.Server {
-	limits := m.settings.Limits
-	return &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: time.Duration(limits.HeaderTimeout),
-		IdleTimeout:       time.Duration(limits.IdleTimeout),
-		MaxHeaderBytes:    headerSlack * limits.HeaderBytes,
-	}
-}
-
-func (m *machine) callersHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle(teaselv1connect.NewLookupServiceHandler(m.lookups, connect.WithCompressMinBytes(minCompressed), connect.WithReadMaxBytes(m.settings.Limits.HeaderBytes)))
-	mux.HandleFunc("/", m.dispatcher.ServeCaller)
-	return observed(m.metrics, m.leaving(bounded(m.settings.Limits.HeaderBytes, mux)))
-}
-
-func (m *machine) peersHandler() http.Handler {
-	calls := teaselv1.NewPeerServiceServer(peerServer{
-		machine: m,
-	})
-	return m.keyed(header.InternalKey, m.settings.PeerKey, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Header.Get(header.InternalServer) != "" {
-			m.dispatcher.ServePeer(w, r)
-			return
-		}
-		calls.ServeHTTP(w, r)
-	}))
-}
-
-// bearerPrefix begins the Authorization header of operators' calls.
-const bearerPrefix = "Bearer "
-
-func (m *machine) operatorsHandler() http.Handler {
-	calls := &operator.Server{
-		Keeper:  m.keeper,
-		Roster:  m.roster,
-		Slots:   m.slots,
-		View:    m.view,
-		Lookup:  m.lookups,
-		Events:  m.events,
-		Started: m.started,
-		Ready:   m.ready,
-	}
-	mux := http.NewServeMux()
-	path, handler := teaselv1connect.NewOperatorServiceHandler(calls, connect.WithCompressMinBytes(minCompressed))
-	mux.Handle(path, m.keyed("Authorization", bearerPrefix+m.settings.OperatorKey, handler))
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = w.Write([]byte("ok\n"))
-	})
-	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if !m.ready() {
-			http.Error(w, "not ready", http.StatusServiceUnavailable)
-			return
-		}
-		_, _ = w.Write([]byte("ready\n"))
-	})
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
-		metrics.WriteJSONOnce(m.metrics, w)
-	})
-	return mux
-}
-
-// keyed lets calls through whose header holds a key, compared in constant time.
-func (m *machine) keyed(name, key string, next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if subtle.ConstantTimeCompare([]byte(r.Header.Get(name)), []byte(key)) != 1 {
-			http.Error(w, "not run: the key is missing or wrong", http.StatusUnauthorized)
-			return
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
-// peerServer answers peers' calls.
-type peerServer struct {
-	machine *machine
-}
-
-// Heartbeat exchanges news with a peer.
-func (p peerServer) Heartbeat(_ context.Context, request *teaselv1.HeartbeatRequest) (*teaselv1.HeartbeatResponse, error) {
-	return p.machine.roster.Answer(request), nil
-}
-
-// FetchConfiguration returns the steps of the configuration after a version.
-func (p peerServer) FetchConfiguration(_ context.Context, request *teaselv1.FetchConfigurationRequest) (*teaselv1.FetchConfigurationResponse, error) {
-	return &teaselv1.FetchConfigurationResponse{
-		Deltas: p.machine.keeper.Steps(request.GetAfter()),
-	}, nil
-}
-
-// Seat says which incarnation of an entry this one knows.
-func (p peerServer) Seat(_ context.Context, request *teaselv1.SeatRequest) (*teaselv1.SeatResponse, error) {
-	peer, _ := p.machine.roster.Peer(request.GetEntry())
-	return &teaselv1.SeatResponse{
-		Incarnation: peer.Member.GetIncarnation(),
-	}, nil
-}
-
-// Key says what became of a key.
-func (p peerServer) Key(ctx context.Context, request *teaselv1.KeyRequest) (*teaselv1.KeyResponse, error) {
-	return p.machine.keys.Tell(ctx, request), nil
-}
