--- a/standin/site/deployment_test.go
+++ b/standin/site/deployment_test.go
@@ -342,10 +342,10 @@
 }
 
 // loadRate is in requests a second; a test needs a mix, not a heavy load.
-const loadRate = 50
+const loadRate = 100
 
 // phaseRequests is how many requests run in each phase of a scenario.
-const phaseRequests = 40
+const phaseRequests = 60
 
 // underLoad sends the mixed load while a scenario takes place.
 func (d *deployment) underLoad(seed uint64, scenario func()) *caller.Report {
