--- /dev/null
+++ b/entry/gate.go
@@ -0,0 +1,347 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sys/unix"
+
+	"github.com/teaselstack/teaselstack/entry/gateway"
+	"github.com/teaselstack/teaselstack/entry/placement"
+	"github.com/teaselstack/teaselstack/entry/presence"
+	"github.com/teaselstack/teaselstack/entry/quarantine"
+	"github.com/teaselstack/teaselstack/entry/registry"
+	"github.com/teaselstack/teaselstack/entry/upstream"
+	"github.com/teaselstack/teaselstack/platform"
+	"github.com/teaselstack/teaselstack/routing"
+)
+
+// gate is an entry on a platform whose store holds routes and registrations.
+type gate struct {
+	settings atomic.Pointer[platform.Settings]
+	logger   *log.Logger
+	metrics  metrics.Registry
+	fleet    *placement.Fleet
+	pool     *upstream.Pool
+	registry *registry.Registry
+	roster   *presence.Roster
+	gateway  *gateway.Gateway
+	suspects quarantine.List
+	// leaving is set by SIGTERM, closing once connections are closed after their
+	// answers.
+	leaving atomic.Bool
+	closing atomic.Bool
+}
+
+const (
+	// registrationInterval is the longest time between two readings of the
+	// registrations; half of the time within which a leaving server must be left
+	// alone is the other bound.
+	registrationInterval = 1200 * time.Millisecond
+	// connectTimeout bounds connecting to a backend server: a lost opening packet
+	// is sent again after a second, and the longest way takes a fraction of one.
+	connectTimeout = 700 * time.Millisecond
+	// silentProbe is the time between the probes of a connection that is silent;
+	// silentProbes of them without an answer end it.
+	silentProbe  = time.Second
+	silentProbes = 2
+	// homeWeight and uploadHomeWeight say how many times a server of the entry's
+	// own region counts in placement.
+	homeWeight       = 1.5
+	uploadHomeWeight = 6
+)
+
+func newGate(settings platform.Settings, logger *log.Logger) *gate {
+	g := &gate{
+		logger:  logger,
+		metrics: metrics.NewRegistry(),
+	}
+	g.settings.Store(&settings)
+	bounds := settings.Bounds
+	g.roster = &presence.Roster{
+		Self:   g.self,
+		Store:  g.newStore(),
+		Logger: logger,
+	}
+	g.fleet = placement.New(settings.Region, g.roster.Count,
+		placement.WithHomeWeight(homeWeight, uploadHomeWeight),
+		placement.WithColdBound(bounds.ColdFactor, bounds.ColdSlack))
+	g.fleet.Changed = g.serverChanged
+	g.pool = &upstream.Pool{
+		Names: platform.Headers,
+		Dial:  newDialer(connectTimeout).dial,
+	}
+	g.registry = &registry.Registry{
+		Operators:  g.newStore(),
+		Servers:    g.newStore(),
+		Regions:    settings.Domains,
+		Interval:   min(registrationInterval, bounds.Drain/2),
+		Configured: g.fleet.Configure,
+		Evacuate:   g.fleet.Evacuate,
+		Update:     g.fleet.Update,
+		Remove:     g.fleet.Remove,
+		Logger:     logger,
+	}
+	g.gateway = &gateway.Gateway{
+		Names:         platform.Headers,
+		Configuration: g.registry.Configuration,
+		Fleet:         g.fleet,
+		Pool:          g.pool,
+		Budget: &gateway.Budget{
+			Ratio:   bounds.RetryRatio,
+			Window:  bounds.RetryWindow,
+			Slack:   bounds.RetrySlack,
+			Entries: g.roster.Count,
+		},
+		Quarantine: &g.suspects,
+		Closing:    g.leaving.Load,
+		Logger:     logger,
+		Metrics:    g.metrics,
+	}
+	return g
+}
+
+// dialer opens connections whose silence shows.
+type dialer struct {
+	net.Dialer
+}
+
+func newDialer(timeout time.Duration) *dialer {
+	return &dialer{
+		Dialer: net.Dialer{
+			Timeout: timeout,
+			KeepAliveConfig: net.KeepAliveConfig{
+				Enable:   true,
+				Idle:     silentProbe,
+				Interval: silentProbe,
+				Count:    silentProbes,
+			},
+			Control: func(_, _ string, raw syscall.RawConn) error {
+				var failure error
+				err := raw.Control(func(descriptor uintptr) {
+					unanswered := int((silentProbes + 1) * silentProbe.Milliseconds())
+					failure = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, unanswered)
+				})
+				if err != nil {
+					return err
+				}
+				return failure
+			},
+		},
+	}
+}
+
+func (d *dialer) dial(ctx context.Context, address string) (net.Conn, error) {
+	return d.DialContext(ctx, "tcp4", address)
+}
+
+// newStore returns a client of the store with connections of its own.
+func (g *gate) newStore() *platform.Store {
+	dial := newDialer(connectTimeout)
+	return &platform.Store{
+		Address: g.settings.Load().Store,
+		Client: &http.Client{
+			Transport: &http.Transport{
+				DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+					return dial.dial(ctx, address)
+				},
+				MaxIdleConnsPerHost: 1,
+				DisableCompression:  true,
+			},
+		},
+	}
+}
+
+func (g *gate) serverChanged(server *routing.Server, belief placement.Belief, cause string) {
+	g.logger.Info().Str("event", "server").Str("server", server.ID).Str("belief", string(belief)).Str("cause", cause).
+		Str("service", server.Service).Str("failure-domain", server.Domain).Int64("sequence", server.Sequence).Msg("")
+}
+
+// ready reports whether callers may be sent here.
+func (g *gate) ready() bool {
+	return g.registry.Known() && !g.leaving.Load()
+}
+
+func (g *gate) self() presence.Member {
+	settings := g.settings.Load()
+	return presence.Member{
+		Name:    settings.Name,
+		Region:  settings.Region,
+		Domain:  settings.Domain,
+		Callers: settings.CallersAddress,
+		Peers:   net.JoinHostPort(settings.IP, strconv.Itoa(settings.PeerPorts[0])),
+		Serving: g.ready(),
+	}
+}
+
+// listeners are the open sockets of a gate.
+type gateListeners struct {
+	callers net.Listener
+	ready   net.Listener
+	lookups net.Listener
+	peers   net.PacketConn
+}
+
+func (g *gate) listen() (opened gateListeners, err error) {
+	settings := g.settings.Load()
+	if opened.callers, err = net.Listen("tcp4", settings.CallersAddress); err != nil {
+		return opened, err
+	}
+	if opened.ready, err = net.Listen("tcp4", settings.ReadyAddress); err != nil {
+		return opened, err
+	}
+	if opened.lookups, err = net.Listen("tcp4", settings.LookupAddress); err != nil {
+		return opened, err
+	}
+	opened.peers, err = net.ListenPacket("udp4", g.self().Peers)
+	return opened, err
+}
+
+const (
+	// lameDuck is how long after SIGTERM new requests are taken: callers that
+	// keep a look-up's answer for its time, three times as long at most, have
+	// left by then, and there is time for the requests in flight.
+	lameDuck = 3 * time.Second
+	// exitMargin is how long before SIGKILL the process exits by itself.
+	exitMargin = 300 * time.Millisecond
+	// sweepInterval is the time between two closings of expired connections.
+	sweepInterval = 2 * time.Second
+	// reloadInterval is the time between two looks at the settings file.
+	reloadInterval = 2 * time.Second
+)
+
+// serve runs until ctx is done, then serves on while callers leave.
+func (g *gate) serve(ctx context.Context, opened gateListeners, hangups <-chan os.Signal) error {
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	var group sync.WaitGroup
+	group.Go(func() { g.registry.Run(background) })
+	group.Go(func() { g.roster.Run(background, opened.peers) })
+	group.Go(func() { g.sweep(background) })
+	group.Go(func() { g.watchSettings(background, hangups) })
+	callers := &http.Server{
+		Handler:     g.gateway,
+		IdleTimeout: callerIdle,
+	}
+	ready := &http.Server{
+		Handler: http.HandlerFunc(g.serveReady),
+	}
+	lookups := &http.Server{
+		Handler: http.HandlerFunc(g.serveLookup),
+	}
+	failures := make(chan error, 3)
+	for server, listener := range map[*http.Server]net.Listener{
+		callers: opened.callers,
+		ready:   opened.ready,
+		lookups: opened.lookups,
+	} {
+		group.Go(func() {
+			if err := server.Serve(listener); err != http.ErrServerClosed {
+				failures <- err
+			}
+		})
+	}
+	settings := g.settings.Load()
+	g.logger.Info().Str("event", "started").Str("callers", settings.CallersAddress).Str("region", settings.Region).Msg("")
+	var failure error
+	select {
+	case <-ctx.Done():
+	case failure = <-failures:
+	}
+	grace := settings.Bounds.Grace
+	g.logger.Info().Str("event", "stopping").Int64("in-flight", g.gateway.InFlight()).Int64("grace-ms", grace.Milliseconds()).Msg("")
+	began := time.Now()
+	g.leaving.Store(true)
+	g.roster.Tell()
+	time.Sleep(min(lameDuck, grace/2))
+	deadline, cancel := context.WithDeadline(context.Background(), began.Add(grace-exitMargin))
+	defer cancel()
+	for _, server := range []*http.Server{callers, ready, lookups} {
+		if err := server.Shutdown(deadline); err != nil {
+			g.logger.Warn().Str("event", "stopped-early").Int64("in-flight", g.gateway.InFlight()).Err(err).Msg("")
+			break
+		}
+	}
+	stop()
+	return failure
+}
+
+// callerIdle is how long a caller's connection may be idle: more than any
+// limit that operators set, since callers stay within that.
+const callerIdle = 60 * time.Second
+
+func (g *gate) serveReady(w http.ResponseWriter, incoming *http.Request) {
+	if incoming.URL.Path != platform.ReadyPath {
+		http.NotFound(w, incoming)
+		return
+	}
+	if !g.ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+	}
+}
+
+// sweep closes connections that are of no more use.
+func (g *gate) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			g.pool.Sweep(g.fleet.Present)
+		}
+	}
+}
+
+// watchSettings reads the settings again on SIGHUP or when the file changed.
+func (g *gate) watchSettings(ctx context.Context, hangups <-chan os.Signal) {
+	ticker := time.NewTicker(reloadInterval)
+	defer ticker.Stop()
+	var read time.Time
+	if info, err := os.Stat(platform.SettingsFile()); err == nil {
+		read = info.ModTime()
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			g.reload("signal")
+		case <-ticker.C:
+			info, err := os.Stat(platform.SettingsFile())
+			if err != nil || info.ModTime().Equal(read) {
+				continue
+			}
+			read = info.ModTime()
+			g.reload("file-changed")
+		}
+	}
+}
+
+// reload takes the settings file over; one that can't be read changes nothing.
+func (g *gate) reload(cause string) {
+	settings, err := platform.ReadSettings(platform.SettingsFile())
+	if err != nil {
+		g.logger.Error().Str("event", "reload-failed").Str("cause", cause).Err(err).Msg("")
+		return
+	}
+	g.settings.Store(&settings)
+	g.logger.Info().Str("event", "reloaded").Str("cause", cause).Msg("")
+}
+
+// validAddress reports whether a text is an IP address with a port.
+func validAddress(text string) bool {
+	_, err := netip.ParseAddrPort(text)
+	return err == nil
+}
--- /dev/null
+++ b/entry/gateway/budget.go
@@ -0,0 +1,72 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+)
+
+// Budget bounds how often requests are sent to a further server. The bound
+// holds over all entries, so each takes a share: repeats in proportion to its
+// own requests, and an equal part of the slack.
+type Budget struct {
+	Ratio  float64
+	Window time.Duration
+	Slack  float64
+	// Entries returns how many entries share the slack.
+	Entries func() int
+
+	mu       sync.Mutex
+	services map[string]*usage
+}
+
+// usage counts the requests and repeats of one service.
+type usage struct {
+	requests []time.Time
+	repeats  []time.Time
+}
+
+// Asked counts a request for a service.
+func (b *Budget) Asked(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	used := b.usage(service)
+	used.requests = append(used.requests, time.Now())
+}
+
+// Take reports whether a request may be sent once more, and counts it if so.
+func (b *Budget) Take(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	used := b.usage(service)
+	allowed := b.Ratio*float64(len(used.requests)) + b.Slack/float64(max(1, b.Entries()))
+	if float64(len(used.repeats)+1) > allowed {
+		return false
+	}
+	used.repeats = append(used.repeats, time.Now())
+	return true
+}
+
+// usage returns a service's counts of the last window. The caller holds the
+// lock.
+func (b *Budget) usage(service string) *usage {
+	if b.services == nil {
+		b.services = make(map[string]*usage)
+	}
+	used := b.services[service]
+	if used == nil {
+		used = &usage{}
+		b.services[service] = used
+	}
+	since := time.Now().Add(-b.Window)
+	used.requests = after(used.requests, since)
+	used.repeats = after(used.repeats, since)
+	return used
+}
+
+// after drops the times up to since from the front of a list.
+func after(times []time.Time, since time.Time) []time.Time {
+	for len(times) > 0 && !times[0].After(since) {
+		times = times[1:]
+	}
+	return times
+}
--- /dev/null
+++ b/entry/gateway/gateway.go
@@ -0,0 +1,206 @@
+// Package gateway serves callers: it finds a request's route, sends the request
+// to a backend server, again to another one where that is allowed, and gives
+// the caller the server's whole answer or a refusal that is true.
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/teaselstack/teaselstack/entry/placement"
+	"github.com/teaselstack/teaselstack/entry/quarantine"
+	"github.com/teaselstack/teaselstack/entry/upstream"
+	"github.com/teaselstack/teaselstack/header"
+	"github.com/teaselstack/teaselstack/outcome"
+	"github.com/teaselstack/teaselstack/routing"
+)
+
+// Gateway serves the callers of one entry.
+type Gateway struct {
+	Names header.Names
+	// Configuration returns the newest configuration, or nil.
+	Configuration func() *routing.Configuration
+	Fleet         *placement.Fleet
+	Pool          *upstream.Pool
+	Budget        *Budget
+	Quarantine    *quarantine.List
+	// Closing reports whether connections are to be closed after their answers.
+	Closing func() bool
+	Logger  *log.Logger
+	Metrics metrics.Registry
+
+	inFlight atomic.Int64
+	buffered atomic.Int64
+}
+
+// defaultDeadline is how long a caller is taken to wait that does not say.
+const defaultDeadline = 30 * time.Second
+
+// request is one caller's attempt on its way.
+type request struct {
+	incoming *http.Request
+	route    *routing.Route
+	version  uint64
+	service  string
+	id       string
+	object   uint64
+	digest   quarantine.Digest
+	arrived  time.Time
+	// deadline is when the caller leaves, limit when the answer is due: the
+	// deadline or the route's timeout, whichever is earlier.
+	deadline time.Time
+	limit    time.Time
+	body     *body
+	tried    []string
+	sends    int
+}
+
+// InFlight returns how many requests are being served.
+func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
+
+// ServeHTTP serves one request of a caller.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, incoming *http.Request) {
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
+	if g.Closing() {
+		w.Header().Set("Connection", "close")
+	}
+	req, refusal := g.parse(incoming)
+	if refusal != nil {
+		g.refuse(w, req, *refusal)
+		return
+	}
+	ctx, cancel := context.WithDeadline(incoming.Context(), req.limit.Add(answerSlack))
+	defer cancel()
+	if refusal := g.readBody(req); refusal != nil {
+		g.refuse(w, req, *refusal)
+		return
+	}
+	defer g.releaseBody(req)
+	g.run(ctx, w, req)
+}
+
+// parse finds the route of a request and what bounds it.
+func (g *Gateway) parse(incoming *http.Request) (*request, *refusal) {
+	req := &request{
+		incoming: incoming,
+		id:       incoming.Header.Get(g.Names.RequestID),
+		arrived:  time.Now(),
+	}
+	req.deadline = req.arrived.Add(defaultDeadline)
+	if value, err := strconv.ParseInt(incoming.Header.Get(g.Names.DeadlineMS), 10, 32); err == nil && value >= 0 {
+		req.deadline = req.arrived.Add(time.Duration(value) * time.Millisecond)
+	}
+	req.limit = req.deadline
+	conf := g.Configuration()
+	if conf == nil {
+		return req, notRun(outcome.ReasonNoConfiguration, startWait)
+	}
+	req.version = conf.Version
+	req.route = conf.Match(incoming.Host, incoming.URL.Path)
+	if req.route == nil {
+		return req, &refusal{
+			status: http.StatusNotFound,
+			reason: outcome.ReasonUnknownService,
+		}
+	}
+	if limit := req.arrived.Add(req.route.Timeout); req.route.Timeout > 0 && limit.Before(req.limit) {
+		req.limit = limit
+	}
+	req.setObject(g.Names.Object)
+	req.setService()
+	g.Budget.Asked(req.service)
+	return req, nil
+}
+
+// setObject takes the object from its cookie. A request without one counts as
+// an object of its own.
+func (r *request) setObject(cookie string) {
+	object := r.id
+	for _, each := range r.incoming.CookiesNamed(cookie) {
+		object = each.Value
+	}
+	r.object = placement.Object(r.route.Name, object)
+}
+
+// setService draws the service of a split by the request's ID, so that all
+// requests have the same odds whatever object they concern.
+func (r *request) setService() {
+	draw := placement.Object("", r.id)
+	r.service = r.route.Pick(float64(draw>>11) / (1 << 53))
+}
+
+// client is the caller's address without port.
+func (r *request) client() string {
+	host, _, err := net.SplitHostPort(r.incoming.RemoteAddr)
+	if err != nil {
+		return r.incoming.RemoteAddr
+	}
+	return host
+}
+
+// repeatable reports whether the request may run more than once.
+func (r *request) repeatable() bool { return r.route.Kind == routing.Repeatable }
+
+// outgoing returns the request for one send to a server.
+func (g *Gateway) outgoing(req *request, server *routing.Server) *http.Request {
+	out := &http.Request{
+		Method:        req.incoming.Method,
+		URL:           req.incoming.URL,
+		Host:          req.incoming.Host,
+		Header:        req.incoming.Header.Clone(),
+		ContentLength: req.body.length,
+		Body:          req.body.open(),
+	}
+	header.StripHopByHop(out.Header)
+	if out.Header.Get("User-Agent") == "" {
+		// An empty value keeps net/http from adding its own.
+		out.Header["User-Agent"] = []string{""}
+	}
+	out.Header.Set(g.Names.Target, server.ID)
+	left := max(1, time.Until(req.limit).Milliseconds())
+	out.Header.Set(g.Names.DeadlineMS, strconv.FormatInt(left, 10))
+	return out
+}
+
+// parseReport reads a server's load header.
+func parseReport(text string) *placement.Report {
+	running, rest, found := strings.Cut(text, ",")
+	waiting, slots, foundSlots := strings.Cut(rest, ",")
+	if !found || !foundSlots {
+		return nil
+	}
+	var report placement.Report
+	for _, each := range []struct {
+		text   string
+		target *int
+	}{
+		{
+			text:   running,
+			target: &report.Running,
+		},
+		{
+			text:   waiting,
+			target: &report.Waiting,
+		},
+		{
+			text:   slots,
+			target: &report.Slots,
+		},
+	} {
+		value, err := strconv.Atoi(strings.TrimSpace(each.text))
+		if err != nil || value < 0 {
+			return nil
+		}
+		*each.target = value
+	}
+	return &report
+}
--- /dev/null
+++ b/entry/gateway/refusal.go
@@ -0,0 +1,118 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/teaselstack/teaselstack/entry/placement"
+	"github.com/teaselstack/teaselstack/entry/upstream"
+	"github.com/teaselstack/teaselstack/outcome"
+)
+
+// refusal is an answer of the entry's own.
+type refusal struct {
+	status int
+	reason outcome.Reason
+	// wait is when the caller may find room, for requests that have not run.
+	wait time.Duration
+}
+
+const (
+	// startWait is how long an entry without configuration is taken to need.
+	startWait = 500 * time.Millisecond
+	// roomWait is when a server is likely to have room again: a request's work.
+	roomWait = 300 * time.Millisecond
+)
+
+// notRun refuses a request that has not run and never will.
+func notRun(reason outcome.Reason, wait time.Duration) *refusal {
+	return &refusal{
+		status: http.StatusServiceUnavailable,
+		reason: reason,
+		wait:   wait,
+	}
+}
+
+// refusalOf is the entry's answer to a request that ended without a server's.
+func refusalOf(reason outcome.Reason, ran bool) refusal {
+	if !ran {
+		return *notRun(reason, roomWait)
+	}
+	status := http.StatusBadGateway
+	if reason == outcome.ReasonDeadline {
+		status = http.StatusGatewayTimeout
+	}
+	return refusal{
+		status: status,
+		reason: reason,
+	}
+}
+
+func (g *Gateway) refuse(w http.ResponseWriter, req *request, no refusal) {
+	if no.wait > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(no.wait.Seconds(), 'f', 3, 64))
+	}
+	if g.Closing() {
+		w.Header().Set("Connection", "close")
+	}
+	if req.id != "" {
+		w.Header().Set(g.Names.RequestID, req.id)
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(no.status)
+	// A caller that has left needs no answer.
+	_, _ = io.WriteString(w, string(no.reason)+"\n")
+	g.count(req, no.status)
+	g.log(req, "refused", nil).Int("status", no.status).Str("reason", string(no.reason)).
+		Int64("retry-after-ms", no.wait.Milliseconds()).
+		Int64("total-ms", time.Since(req.arrived).Milliseconds()).Msg("")
+}
+
+// copy passes a body on. An answer that breaks off midway ends the connection,
+// so that it does not look whole.
+func (g *Gateway) copy(w http.ResponseWriter, req *request, answer *upstream.Answer) {
+	if _, err := w.Write(answer.Content); err != nil {
+		return
+	}
+	if answer.Rest == nil {
+		return
+	}
+	if _, err := io.Copy(w, answer.Rest); err != nil {
+		g.log(req, "broken-off", nil).Str("failure", err.Error()).Msg("")
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// log begins a line on a request.
+func (g *Gateway) log(req *request, event string, choice *placement.Choice) *log.Entry {
+	line := g.Logger.Info().Str("event", event).Str("id", req.id).Uint64("version", req.version)
+	if req.route != nil {
+		line = line.Str("route", req.route.Name).Str("service", req.service).Int("sends", req.sends)
+	}
+	if choice != nil {
+		line = line.Str("server", choice.Server.ID).Int("rank", choice.Rank).
+			Float64("load", float64(int(choice.Load*10))/10).Int64("load-age-ms", choice.Age.Milliseconds())
+	}
+	return line
+}
+
+// count counts an answer by service, kind and status.
+func (g *Gateway) count(req *request, status int) {
+	name := "requests.none." + strconv.Itoa(status)
+	if req.route != nil {
+		name = "requests." + req.service + "." + req.route.Kind.String() + "." + strconv.Itoa(status)
+		metrics.GetOrRegisterHistogram("latency-ms."+req.service+"."+req.route.Kind.String(), g.Metrics, metrics.NewUniformSample(latencySamples)).
+			Update(time.Since(req.arrived).Milliseconds())
+	}
+	metrics.GetOrRegisterCounter(name, g.Metrics).Inc(1)
+}
+
+// latencySamples is how many latencies a histogram keeps, 8 bytes each.
+const latencySamples = 256
+
+func itoa(value int) string { return strconv.Itoa(value) }
--- /dev/null
+++ b/entry/gateway/run.go
@@ -0,0 +1,236 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/teaselstack/teaselstack/entry/placement"
+	"github.com/teaselstack/teaselstack/entry/upstream"
+	"github.com/teaselstack/teaselstack/header"
+	"github.com/teaselstack/teaselstack/outcome"
+)
+
+const (
+	// answerSlack is how long after a request's limit an answer that the server
+	// gives at that limit is waited for; answers are due half a second after it.
+	answerSlack = 250 * time.Millisecond
+	// minSend is the least time left at which a request is sent to a server.
+	minSend = 20 * time.Millisecond
+	// maxUnconnected bounds the servers that one request fails to connect to.
+	maxUnconnected = 4
+)
+
+// attempt is what one send to a server came to.
+type attempt struct {
+	choice  placement.Choice
+	answer  *upstream.Answer
+	failure *upstream.Failure
+	sign    placement.Sign
+	// ran says that the request may have run.
+	ran    bool
+	reason outcome.Reason
+}
+
+// run sends a request until it has an answer to give.
+func (g *Gateway) run(ctx context.Context, w http.ResponseWriter, req *request) {
+	unconnected := 0
+	mayHaveRun := false
+	last := outcome.ReasonNoRoom
+	for {
+		if g.Quarantine.Quarantined(req.digest) {
+			last = outcome.ReasonQuarantined
+			break
+		}
+		if time.Until(req.limit) < minSend || ctx.Err() != nil {
+			last = outcome.ReasonDeadline
+			break
+		}
+		choice, refusal := g.Fleet.Choose(&placement.Request{
+			Service: req.service,
+			Object:  req.object,
+			Kind:    req.route.Kind,
+			Route:   req.route,
+			Tried:   req.tried,
+		})
+		if refusal != placement.RefusalNone {
+			if req.sends == 0 {
+				last = outcome.Reason(refusal)
+			}
+			break
+		}
+		req.tried = append(req.tried, choice.Server.ID)
+		result := g.send(ctx, req, choice)
+		if result.failure != nil && result.failure.Unconnected {
+			last = outcome.ReasonConnect
+			unconnected++
+			if unconnected >= maxUnconnected {
+				break
+			}
+			continue
+		}
+		req.sends++
+		mayHaveRun = mayHaveRun || result.ran
+		if result.answer != nil && g.final(req, &result) {
+			g.deliver(w, req, &result)
+			return
+		}
+		last = result.reason
+		again := g.mayRepeat(req, &result)
+		if result.answer != nil {
+			if !again && result.ran {
+				g.deliver(w, req, &result)
+				return
+			}
+			result.answer.Finish()
+		}
+		if !again {
+			break
+		}
+	}
+	if ctx.Err() != nil && req.incoming.Context().Err() != nil {
+		g.log(req, "caller-left", nil).Str("reason", string(last)).Msg("")
+		panic(http.ErrAbortHandler)
+	}
+	if mayHaveRun && !req.repeatable() {
+		g.refuse(w, req, refusalOf(last, true))
+		return
+	}
+	g.refuse(w, req, refusalOf(last, mayHaveRun))
+}
+
+// send sends a request to a chosen server once and judges what came back.
+func (g *Gateway) send(ctx context.Context, req *request, choice placement.Choice) attempt {
+	sent := time.Now()
+	result := attempt{
+		choice: choice,
+	}
+	leave, allowed := g.Quarantine.Enter(req.digest, choice.Server.ID)
+	if !allowed {
+		g.Fleet.Done(&choice, placement.SignNone, nil)
+		result.reason = outcome.ReasonQuarantined
+		result.failure = &upstream.Failure{
+			Unconnected: true,
+		}
+		return result
+	}
+	defer leave()
+	result.answer, result.failure = g.Pool.Exchange(ctx, &choice.Server, g.outgoing(req, &choice.Server), req.id)
+	var report *placement.Report
+	if result.answer != nil {
+		report = parseReport(result.answer.Header.Get(g.Names.Load))
+		g.judgeAnswer(&result)
+	} else {
+		g.judgeFailure(ctx, req, &result)
+	}
+	g.Fleet.Done(&choice, result.sign, report)
+	line := g.log(req, "sent", &choice).Int64("took-ms", time.Since(sent).Milliseconds())
+	if result.answer != nil {
+		line = line.Int("status", result.answer.StatusCode)
+	}
+	if result.failure != nil {
+		line = line.Str("failure", result.failure.Error()).Bool("reused", result.failure.Reused)
+	}
+	line.Str("reason", string(result.reason)).Msg("")
+	return result
+}
+
+// judgeAnswer tells what an answer says of the request and of its server.
+func (g *Gateway) judgeAnswer(result *attempt) {
+	answer := result.answer
+	switch {
+	case answer.Header.Get(g.Names.NotExecuted) != "" || answer.StatusCode == http.StatusMisdirectedRequest:
+		result.sign = placement.SignShed
+		result.reason = outcome.ReasonShed
+		if answer.StatusCode == http.StatusMisdirectedRequest {
+			result.sign = placement.SignUnconnected
+		}
+	case answer.Header.Get("Content-Encoding") != "",
+		answer.Header.Get(g.Names.Stamp) == "" && answer.StatusCode < http.StatusMultipleChoices:
+		result.ran = true
+		result.sign = placement.SignBroken
+		result.reason = outcome.ReasonCrossedAnswer
+	default:
+		result.ran = true
+		if answer.StatusCode >= http.StatusInternalServerError && answer.StatusCode != http.StatusGatewayTimeout {
+			result.sign = placement.SignBroken
+		}
+	}
+}
+
+// judgeFailure tells what a broken exchange says of the request and its server.
+func (g *Gateway) judgeFailure(ctx context.Context, req *request, result *attempt) {
+	failure := result.failure
+	switch {
+	case failure.Unconnected:
+		result.reason = outcome.ReasonConnect
+		result.sign = placement.SignUnconnected
+		if ctx.Err() != nil {
+			result.sign = placement.SignNone
+		}
+		return
+	case ctx.Err() != nil:
+		result.reason = outcome.ReasonDeadline
+		result.sign = placement.SignNone
+	case failure.Crossed:
+		result.reason = outcome.ReasonCrossedAnswer
+		result.sign = placement.SignBroken
+	default:
+		result.reason = outcome.ReasonBroken
+		result.sign = placement.SignBroken
+		g.Quarantine.Broke(req.digest, req.service, result.choice.Server.ID)
+	}
+	result.ran = true
+}
+
+// final reports whether an answer is the one to give to the caller.
+func (g *Gateway) final(req *request, result *attempt) bool {
+	if result.reason != "" {
+		return false
+	}
+	if result.answer.StatusCode < http.StatusInternalServerError {
+		g.Quarantine.Finished(req.digest)
+		return true
+	}
+	return !req.repeatable() || result.answer.StatusCode == http.StatusGatewayTimeout
+}
+
+// mayRepeat reports whether a request may be sent to another server.
+func (g *Gateway) mayRepeat(req *request, result *attempt) bool {
+	switch {
+	case req.sends >= req.route.Attempts,
+		result.ran && !req.repeatable(),
+		!req.body.repeatable(),
+		result.reason == outcome.ReasonDeadline:
+		return false
+	}
+	return g.Budget.Take(req.service)
+}
+
+// deliver gives the caller a server's answer.
+func (g *Gateway) deliver(w http.ResponseWriter, req *request, result *attempt) {
+	answer := result.answer
+	defer answer.Finish()
+	if result.reason == outcome.ReasonCrossedAnswer {
+		g.refuse(w, req, refusalOf(result.reason, true))
+		return
+	}
+	head := w.Header()
+	header.StripHopByHop(answer.Header)
+	for name, values := range answer.Header {
+		head[name] = values
+	}
+	if answer.Rest == nil {
+		head.Set("Content-Length", itoa(len(answer.Content)))
+	} else if answer.ContentLength >= 0 {
+		head.Set("Content-Length", itoa(int(answer.ContentLength)))
+	}
+	if g.Closing() {
+		head.Set("Connection", "close")
+	}
+	w.WriteHeader(answer.StatusCode)
+	g.copy(w, req, answer)
+	g.count(req, answer.StatusCode)
+	g.log(req, "answered", &result.choice).Int("status", answer.StatusCode).
+		Int64("total-ms", time.Since(req.arrived).Milliseconds()).Msg("")
+}
--- a/entry/main.go
+++ b/entry/main.go
@@ -15,6 +15,7 @@
 
 	"github.com/teaselstack/teaselstack/entry/settings"
 	"github.com/teaselstack/teaselstack/logline"
+	"github.com/teaselstack/teaselstack/platform"
 )
 
 // version is set when a release is linked.
@@ -29,6 +30,7 @@
 
 type commandLine struct {
 	Settings string `short:"s" long:"settings" description:"settings file in TOML" value-name:"FILE"`
+	Platform bool   `long:"platform" description:"take settings, routes and registrations from the platform"`
 	Check    bool   `long:"check" description:"check the settings file and exit"`
 	Version  bool   `long:"version" description:"print the version and exit"`
 }
@@ -49,6 +51,9 @@
 		fmt.Println("entry", version)
 		return exitOK
 	}
+	if line.Platform {
+		return serveOnPlatform()
+	}
 	if line.Settings == "" {
 		fmt.Fprintln(os.Stderr, "entry: --settings is missing")
 		return exitSettings
@@ -96,6 +101,34 @@
 	return exitOK
 }
 
+// serveOnPlatform runs the entry with the settings that the platform gives.
+func serveOnPlatform() int {
+	loaded, err := platform.ReadSettings(platform.SettingsFile())
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "entry:", err)
+		return exitSettings
+	}
+	lines := logline.NewBuffer(os.Stdout)
+	defer lines.Close()
+	logger := logline.NewJSON(lines, "entry", loaded.Name)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	running := newGate(loaded, logger)
+	opened, err := running.listen()
+	if err != nil {
+		logger.Error().Str("event", "listen-failed").Err(err).Msg("")
+		return exitFailed
+	}
+	if err := running.serve(ctx, opened, hangups); err != nil {
+		logger.Error().Str("event", "serve-failed").Err(err).Msg("")
+		return exitFailed
+	}
+	logger.Info().Str("event", "stopped").Msg("")
+	return exitOK
+}
+
 // listeners are the open sockets of an entry.
 type listeners struct {
 	callers   net.Listener
--- /dev/null
+++ b/entry/placement/placement.go
@@ -0,0 +1,300 @@
+// Package placement decides which backend server runs a request: the one that
+// most likely has the request's object warm, as long as it has room, and
+// otherwise the next in an order that all entries share without talking.
+package placement
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/teaselstack/teaselstack/routing"
+)
+
+// Fleet is what one entry knows of the backend servers.
+type Fleet struct {
+	// Region is the entry's own.
+	Region string
+	// Entries returns how many entries share what is bounded over all of them.
+	Entries func() int
+	// Changed is told of each change of belief about a server; it may be nil.
+	Changed func(server *routing.Server, belief Belief, cause string)
+
+	options   options
+	mu        sync.Mutex
+	servers   map[string]*server
+	services  map[string][]*server
+	evacuated map[string]bool
+	settings  map[string]*routing.Service
+}
+
+// Belief is what an entry holds of a backend server.
+type Belief string
+
+// Beliefs about a backend server.
+const (
+	BeliefUp       Belief = "up"
+	BeliefCold     Belief = "cold"
+	BeliefDraining Belief = "draining"
+	BeliefGone     Belief = "gone"
+	BeliefFailing  Belief = "failing"
+)
+
+type options struct {
+	homeWeight   float64
+	uploadWeight float64
+	coldFactor   float64
+	coldSlack    float64
+}
+
+// Option changes how a fleet places requests.
+type Option func(*options)
+
+// WithHomeWeight sets how many times a server of the entry's own region counts
+// in the placement of objects; uploads, whose bodies cost most between
+// regions, have a weight of their own.
+func WithHomeWeight(requests, uploads float64) Option {
+	return func(o *options) {
+		o.homeWeight, o.uploadWeight = requests, uploads
+	}
+}
+
+// WithColdBound sets the bound of requests a second to a cold server over all
+// entries: its own rate times a factor, plus a slack.
+func WithColdBound(factor, slack float64) Option {
+	return func(o *options) {
+		o.coldFactor, o.coldSlack = factor, slack
+	}
+}
+
+// New returns a fleet without servers.
+func New(region string, entries func() int, opts ...Option) *Fleet {
+	fleet := &Fleet{
+		Region:  region,
+		Entries: entries,
+		options: options{
+			homeWeight:   1,
+			uploadWeight: 1,
+			coldFactor:   1,
+		},
+		servers:   make(map[string]*server),
+		services:  make(map[string][]*server),
+		evacuated: make(map[string]bool),
+		settings:  make(map[string]*routing.Service),
+	}
+	for _, option := range opts {
+		option(&fleet.options)
+	}
+	return fleet
+}
+
+// server is one backend server with what this entry has seen of it.
+type server struct {
+	routing.Server
+	hash uint64
+	// inFlight counts this entry's own requests there.
+	inFlight int
+	// others is how many requests of other entries the server had at othersAt.
+	others   float64
+	othersAt time.Time
+	// coldUntil is when it stops to be cold, coldNext when this entry may send it
+	// its next request until then.
+	coldUntil time.Time
+	coldNext  time.Time
+	health    health
+}
+
+// Request is what placement needs to know of a request.
+type Request struct {
+	Service string
+	// Object is the hash of the route and the object that the request concerns.
+	Object uint64
+	Kind   routing.Kind
+	Route  *routing.Route
+	// Tried are servers that the request was sent to already.
+	Tried []string
+}
+
+// Choice is a server with the figures that spoke for it.
+type Choice struct {
+	Server routing.Server
+	// Rank is the server's place in the object's order, from 0.
+	Rank int
+	// Load is the server's requests as this entry estimates them, Age how old the
+	// server's own figure is; 0 if there is none.
+	Load float64
+	Age  time.Duration
+}
+
+// Refusal says why no server was chosen.
+type Refusal string
+
+// Refusals.
+const (
+	RefusalNone     Refusal = ""
+	RefusalNoServer Refusal = "no-backend-server"
+	RefusalFull     Refusal = "no-room"
+)
+
+// Choose reserves a place for a request at a server. Done must follow when
+// there is no refusal.
+func (f *Fleet) Choose(request *Request) (Choice, Refusal) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	ranked := f.rank(request, now)
+	if len(ranked) == 0 {
+		return Choice{}, RefusalNoServer
+	}
+	for rank, each := range ranked {
+		if each.load(now) < each.room(rank) && each.admitsCold(now) {
+			return f.take(each, rank, now), RefusalNone
+		}
+	}
+	return Choice{}, RefusalFull
+}
+
+// take counts a request at a server.
+func (f *Fleet) take(each *server, rank int, now time.Time) Choice {
+	choice := Choice{
+		Server: each.Server,
+		Rank:   rank,
+		Load:   each.load(now),
+	}
+	if !each.othersAt.IsZero() {
+		choice.Age = now.Sub(each.othersAt)
+	}
+	if now.Before(each.coldUntil) {
+		each.coldNext = now.Add(f.coldInterval(each))
+	}
+	each.inFlight++
+	return choice
+}
+
+// Usable reports whether a server may still be sent a request that was placed
+// there a while ago.
+func (f *Fleet) Usable(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	each := f.servers[id]
+	return each != nil && !each.Draining && !f.evacuated[each.Domain]
+}
+
+// rank returns the servers that may run a request in the object's order.
+func (f *Fleet) rank(request *Request, now time.Time) []*server {
+	all := f.services[request.Service]
+	type scored struct {
+		server *server
+		score  float64
+	}
+	order := make([]scored, 0, len(all))
+	failing := 0
+	for _, each := range all {
+		if each.Draining || f.evacuated[each.Domain] || slices.Contains(request.Tried, each.ID) {
+			continue
+		}
+		if request.Route != nil && !request.Route.AllowsRegion(each.Region) {
+			continue
+		}
+		if each.health.failing(now) {
+			failing++
+		}
+		order = append(order, scored{
+			server: each,
+			score:  f.score(request, each),
+		})
+	}
+	// Where most seem to fail, the fault is more likely on the way than in all
+	// of them.
+	if float64(failing) <= panicShare*float64(len(order)) && failing < len(order) {
+		order = slices.DeleteFunc(order, func(each scored) bool { return each.server.health.failing(now) })
+	}
+	slices.SortFunc(order, func(a, b scored) int {
+		if a.score > b.score {
+			return -1
+		}
+		return 1
+	})
+	ranked := make([]*server, 0, len(order))
+	for _, each := range order {
+		ranked = append(ranked, each.server)
+	}
+	return ranked
+}
+
+// score is the weighted rendezvous score of a server for an object.
+func (f *Fleet) score(request *Request, each *server) float64 {
+	weight := float64(each.Slots)
+	if each.Region == f.Region {
+		if request.Kind == routing.Upload {
+			weight *= f.options.uploadWeight
+		} else {
+			weight *= f.options.homeWeight
+		}
+	}
+	draw := (float64(mix(request.Object^each.hash)>>11) + 0.5) / (1 << 53)
+	return -weight / math.Log(draw)
+}
+
+// mix is the finalizer of MurmurHash3.
+func mix(key uint64) uint64 {
+	key ^= key >> 33
+	key *= 0xff51afd7ed558ccd
+	key ^= key >> 33
+	key *= 0xc4ceb9fe1a85ec53
+	return key ^ key>>33
+}
+
+// Object hashes what identifies an object.
+func Object(route, object string) uint64 {
+	digest := xxhash.New()
+	for _, part := range []string{route, "\x00", object} {
+		// A hash's writer returns no error.
+		_, _ = digest.WriteString(part)
+	}
+	return digest.Sum64()
+}
+
+const (
+	// panicShare is the part of a service's servers above which none is left out
+	// for failing.
+	panicShare = 0.5
+	// othersHalfLife is how long it takes until half of the requests that a server
+	// last reported are taken to be done.
+	othersHalfLife = 500 * time.Millisecond
+)
+
+// load estimates the requests that a server runs or holds.
+func (s *server) load(now time.Time) float64 {
+	others := 0.0
+	if s.others > 0 {
+		others = s.others * math.Exp2(-float64(now.Sub(s.othersAt))/float64(othersHalfLife))
+	}
+	return float64(s.inFlight) + others
+}
+
+// room is the load up to which a server is given more: the first of an
+// object's order may hold as many waiting requests as running ones, since a
+// warm server with a short queue is faster than a free one that is not.
+func (s *server) room(rank int) float64 {
+	if rank == 0 {
+		return 2 * float64(s.Slots)
+	}
+	return float64(s.Slots)
+}
+
+func (s *server) admitsCold(now time.Time) bool {
+	return !now.Before(s.coldUntil) || !now.Before(s.coldNext)
+}
+
+// coldInterval is the time between two requests of this entry to a cold server.
+func (f *Fleet) coldInterval(each *server) time.Duration {
+	rate := f.options.coldSlack / 2
+	if service := f.settings[each.Service]; service != nil {
+		rate += service.ColdRate * f.options.coldFactor
+	}
+	return time.Duration(float64(f.Entries()) / max(rate, 0.1) * float64(time.Second))
+}
--- /dev/null
+++ b/entry/placement/update.go
@@ -0,0 +1,135 @@
+package placement
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/teaselstack/teaselstack/routing"
+)
+
+// Configure takes the services' settings over.
+func (f *Fleet) Configure(configuration *routing.Configuration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.settings = configuration.Services
+}
+
+// Evacuate sets the failure domains that get nothing.
+func (f *Fleet) Evacuate(domains map[string]bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.evacuated = maps.Clone(domains)
+}
+
+// Update adds servers or renews what they say of themselves.
+func (f *Fleet) Update(news []routing.Server) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	for i := range news {
+		f.update(&news[i], now)
+	}
+	f.index()
+}
+
+func (f *Fleet) update(news *routing.Server, now time.Time) {
+	known := f.servers[news.ID]
+	fresh := known == nil || known.Incarnation() != news.Incarnation()
+	if fresh {
+		next := &server{
+			hash: xxhash.Sum64String(news.ID),
+		}
+		if known != nil {
+			next.inFlight = known.inFlight
+		}
+		known = next
+		f.servers[news.ID] = known
+	}
+	wasDraining, wasCold := known.Draining, now.Before(known.coldUntil)
+	known.Server = *news
+	if news.Cold > 0 {
+		known.coldUntil = now.Add(news.Cold)
+	}
+	switch {
+	case news.Draining && (fresh || !wasDraining):
+		f.tell(known, BeliefDraining, "registration")
+	case news.Cold > 0 && (fresh || !wasCold):
+		f.tell(known, BeliefCold, "registration")
+	case fresh:
+		f.tell(known, BeliefUp, "registration")
+	}
+}
+
+// Remove drops servers whose registrations are gone.
+func (f *Fleet) Remove(ids []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range ids {
+		if known := f.servers[id]; known != nil {
+			delete(f.servers, id)
+			f.tell(known, BeliefGone, "registration")
+		}
+	}
+	f.index()
+}
+
+// index renews the servers by service, in the order of their IDs.
+func (f *Fleet) index() {
+	f.services = make(map[string][]*server)
+	for _, id := range slices.Sorted(maps.Keys(f.servers)) {
+		each := f.servers[id]
+		f.services[each.Service] = append(f.services[each.Service], each)
+	}
+}
+
+func (f *Fleet) tell(each *server, belief Belief, cause string) {
+	if f.Changed != nil {
+		f.Changed(&each.Server, belief, cause)
+	}
+}
+
+// Report is a server's own figure of its load.
+type Report struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// Done ends a request that Choose placed. The report is nil where the answer
+// had none.
+func (f *Fleet) Done(choice *Choice, sign Sign, report *Report) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known := f.servers[choice.Server.ID]
+	if known == nil {
+		return
+	}
+	known.inFlight = max(0, known.inFlight-1)
+	if known.Incarnation() != choice.Server.Incarnation() {
+		return
+	}
+	now := time.Now()
+	if report != nil {
+		// The report counts this entry's other requests too, not the one that it
+		// came with.
+		known.others = max(0, float64(report.Running+report.Waiting-1-known.inFlight))
+		known.othersAt = now
+	}
+	if sign == SignShed && report != nil && report.Running >= report.Slots {
+		sign = SignFull
+	}
+	if known.health.observe(sign, now) {
+		f.tell(known, BeliefFailing, "requests")
+	}
+}
+
+// Present reports whether a server's incarnation is registered.
+func (f *Fleet) Present(owner routing.Incarnation) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known := f.servers[owner.ID]
+	return known != nil && known.Incarnation() == owner
+}
--- /dev/null
+++ b/entry/registry/registry.go
@@ -0,0 +1,186 @@
+// Package registry follows what operators and backend servers write to the
+// platform's store, and keeps the last good state while the store is away.
+package registry
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/phuslu/log"
+
+	"github.com/teaselstack/teaselstack/platform"
+	"github.com/teaselstack/teaselstack/routing"
+)
+
+// Registry follows the store.
+type Registry struct {
+	// Operators and Servers are clients of the store, one for each task.
+	Operators *platform.Store
+	Servers   *platform.Store
+	// Regions holds the region of each failure domain.
+	Regions map[string]string
+	// Interval is the time between two readings of the servers' changes.
+	Interval time.Duration
+	// Configured, Evacuate, Update and Remove take news over.
+	Configured func(*routing.Configuration)
+	Evacuate   func(domains map[string]bool)
+	Update     func([]routing.Server)
+	Remove     func(ids []string)
+	Logger     *log.Logger
+
+	configuration atomic.Pointer[routing.Configuration]
+	serversKnown  atomic.Bool
+
+	mu        sync.Mutex
+	evacuated map[string]bool
+	// versions holds the newest row version by server, so that an older reading
+	// never replaces a newer one.
+	versions map[string]uint64
+	// lapsed holds when servers were found missing after an outage.
+	lapsed map[string]time.Time
+	// regained is when the store answered again after an outage.
+	regained time.Time
+}
+
+const (
+	// callTimeout bounds a call to the store beside what it is asked to wait.
+	callTimeout = 1500 * time.Millisecond
+	// operatorWait is how long the store holds a call for operators' changes. It
+	// answers at once when there is one.
+	operatorWait = 10 * time.Second
+	// retryFirst and retryMost bound the pause after a failed call.
+	retryFirst = 100 * time.Millisecond
+	retryMost  = 800 * time.Millisecond
+	// lapseGrace is how long after an outage of the store a registration may be
+	// missing although its server lives: two seconds by the platform's pages.
+	lapseGrace = 2500 * time.Millisecond
+)
+
+// Configuration returns the newest configuration, or nil.
+func (r *Registry) Configuration() *routing.Configuration {
+	return r.configuration.Load()
+}
+
+// Known reports whether both the configuration and the servers were read.
+func (r *Registry) Known() bool {
+	return r.configuration.Load() != nil && r.serversKnown.Load()
+}
+
+// Run follows the store until ctx is done.
+func (r *Registry) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	group.Go(func() { r.follow(ctx, r.operatorFeed()) })
+	group.Go(func() { r.follow(ctx, r.serverFeed()) })
+	group.Wait()
+}
+
+// feed is one table that is followed.
+type feed struct {
+	store *platform.Store
+	table string
+	// wait is how long the store holds a call, pause the time between calls.
+	wait  time.Duration
+	pause time.Duration
+	// replace takes a whole table over, change what changed in it.
+	replace func([]platform.Record)
+	change  func([]platform.Record)
+}
+
+func (r *Registry) operatorFeed() feed {
+	return feed{
+		store:   r.Operators,
+		table:   platform.OperatorTable,
+		wait:    operatorWait,
+		replace: r.replaceOperators,
+		change:  r.changeOperators,
+	}
+}
+
+func (r *Registry) serverFeed() feed {
+	return feed{
+		store:   r.Servers,
+		table:   platform.ServerTable,
+		pause:   r.Interval,
+		replace: r.replaceServers,
+		change:  r.changeServers,
+	}
+}
+
+// follow reads a table in full and then its changes, until ctx is done.
+func (r *Registry) follow(ctx context.Context, each feed) {
+	version := uint64(0)
+	known, lost := false, false
+	pause := time.Duration(0)
+	for ctx.Err() == nil {
+		var err error
+		version, known, err = r.step(ctx, each, version, known)
+		if err != nil && ctx.Err() == nil {
+			if !lost {
+				r.Logger.Warn().Str("event", "store-lost").Str("table", each.table).Err(err).Msg("")
+			}
+			lost = true
+			pause = min(retryMost, max(retryFirst, 2*pause))
+			sleep(ctx, pause/2+rand.N(pause/2))
+			continue
+		}
+		if lost {
+			lost = false
+			r.Logger.Info().Str("event", "store-regained").Str("table", each.table).Uint64("version", version).Msg("")
+		}
+		pause = 0
+		sleep(ctx, each.pause)
+	}
+}
+
+// step makes one call for a table.
+func (r *Registry) step(ctx context.Context, each feed, version uint64, known bool) (uint64, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, each.wait+callTimeout)
+	defer cancel()
+	if !known {
+		all, err := each.store.Read(ctx, each.table)
+		if err != nil {
+			r.outage(each.table)
+			return version, false, err
+		}
+		each.replace(all.Rows)
+		return all.Version, true, nil
+	}
+	changes, err := each.store.Changes(ctx, each.table, version, each.wait)
+	if errors.Is(err, platform.ErrHistoryGone) {
+		r.Logger.Info().Str("event", "history-gone").Str("table", each.table).Uint64("version", version).Msg("")
+		return version, false, nil
+	}
+	if err != nil {
+		r.outage(each.table)
+		return version, known, err
+	}
+	each.change(changes.Rows)
+	return max(version, changes.Version), true, nil
+}
+
+// outage notes that the store did not answer.
+func (r *Registry) outage(table string) {
+	if table != platform.ServerTable {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.regained = time.Now()
+}
+
+// sleep waits for a time or until ctx is done.
+func sleep(ctx context.Context, length time.Duration) {
+	if length <= 0 {
+		return
+	}
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/entry/registry/tables.go
@@ -0,0 +1,136 @@
+package registry
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/teaselstack/teaselstack/platform"
+	"github.com/teaselstack/teaselstack/routing"
+)
+
+// replaceOperators takes the operators' whole table over.
+func (r *Registry) replaceOperators(rows []platform.Record) {
+	r.mu.Lock()
+	r.evacuated = nil
+	r.mu.Unlock()
+	r.changeOperators(rows)
+	if len(rows) == 0 {
+		r.Evacuate(nil)
+	}
+}
+
+// changeOperators takes the operators' changes over. A configuration that can't
+// be read leaves the last good one in force.
+func (r *Registry) changeOperators(rows []platform.Record) {
+	if len(rows) == 0 {
+		return
+	}
+	r.mu.Lock()
+	next := maps.Clone(r.evacuated)
+	if next == nil {
+		next = make(map[string]bool)
+	}
+	for _, row := range rows {
+		if domain, is := platform.Evacuated(row.Key); is {
+			if row.Removed {
+				delete(next, domain)
+			} else {
+				next[domain] = true
+			}
+			r.Logger.Info().Str("event", "evacuation").Str("failure-domain", domain).Bool("taken-back", row.Removed).Uint64("row-version", row.Version).Msg("")
+			continue
+		}
+		if row.Key == platform.ConfigurationKey && !row.Removed {
+			r.configure(row)
+		}
+	}
+	r.evacuated = next
+	r.mu.Unlock()
+	r.Evacuate(next)
+}
+
+func (r *Registry) configure(row platform.Record) {
+	next, err := platform.DecodeConfiguration(row.Value)
+	if err != nil {
+		r.Logger.Error().Str("event", "configuration-unreadable").Uint64("row-version", row.Version).Err(err).Msg("")
+		return
+	}
+	if current := r.configuration.Load(); current != nil && current.Version >= next.Version {
+		return
+	}
+	r.configuration.Store(next)
+	r.Configured(next)
+	r.Logger.Info().Str("event", "configuration-in-force").Uint64("version", next.Version).Uint64("row-version", row.Version).Int("routes", next.Len()).Msg("")
+}
+
+// replaceServers takes the whole table of registrations over.
+func (r *Registry) replaceServers(rows []platform.Record) {
+	present := make(map[string]bool, len(rows))
+	for _, row := range rows {
+		present[row.Key] = true
+	}
+	r.mu.Lock()
+	for id := range r.versions {
+		if !present[id] {
+			rows = append(rows, platform.Record{
+				Key:     id,
+				Removed: true,
+				Version: r.versions[id] + 1,
+			})
+		}
+	}
+	r.mu.Unlock()
+	r.changeServers(rows)
+	r.serversKnown.Store(true)
+}
+
+// changeServers takes changed registrations over. A registration that can't be
+// read names no server to use; one that could be read before stays as it was.
+func (r *Registry) changeServers(rows []platform.Record) {
+	var news []routing.Server
+	var gone []string
+	r.mu.Lock()
+	if r.versions == nil {
+		r.versions = make(map[string]uint64)
+		r.lapsed = make(map[string]time.Time)
+	}
+	now := time.Now()
+	unsure := now.Sub(r.regained) < lapseGrace
+	for _, row := range rows {
+		if row.Version <= r.versions[row.Key] {
+			continue
+		}
+		if row.Removed {
+			delete(r.versions, row.Key)
+			if unsure {
+				r.lapsed[row.Key] = now
+			} else {
+				gone = append(gone, row.Key)
+			}
+			continue
+		}
+		r.versions[row.Key] = row.Version
+		server, err := platform.DecodeServer(row.Key, row.Value, r.Regions)
+		if err != nil {
+			r.Logger.Warn().Str("event", "registration-unreadable").Str("server", row.Key).Err(err).Msg("")
+			gone = append(gone, row.Key)
+			continue
+		}
+		delete(r.lapsed, row.Key)
+		news = append(news, server)
+	}
+	for _, id := range slices.Sorted(maps.Keys(r.lapsed)) {
+		if now.Sub(r.regained) >= lapseGrace {
+			delete(r.lapsed, id)
+			gone = append(gone, id)
+		}
+	}
+	r.mu.Unlock()
+	if len(gone) > 0 {
+		r.Remove(gone)
+	}
+	if len(news) > 0 {
+		r.Update(news)
+	}
+}
--- /dev/null
+++ b/entry/upstream/upstream.go
@@ -0,0 +1,311 @@
+// Package upstream sends requests to backend servers over kept HTTP/1.1
+// connections and reads only the answer that belongs to each. Unlike
+// http.Transport it never sends a request again by itself, and it can skip an
+// answer that belongs to an earlier request.
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/teaselstack/teaselstack/header"
+	"github.com/teaselstack/teaselstack/routing"
+)
+
+// Pool holds the kept connections of one entry.
+type Pool struct {
+	Names header.Names
+	// Dial connects to an address.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+
+	mu   sync.Mutex
+	idle map[routing.Incarnation][]*conn
+}
+
+const (
+	// defaultIdle is how long a kept connection is used again if the server does
+	// not say; idleMargin is how much earlier than it says. A request that
+	// crosses the server's close may be lost.
+	defaultIdle = 4 * time.Second
+	idleMargin  = 1500 * time.Millisecond
+	// bufferedBody is the most bytes of an answer that are read before any of it
+	// is passed on, so that a cut answer can still be replaced.
+	bufferedBody = 256 << 10
+	// inlineBody is the largest request body that is sent before the answer is
+	// looked for, in bytes; it fits the smallest socket buffers.
+	inlineBody = 8 << 10
+	// maxSkipped bounds the answers of other requests that are read and dropped.
+	maxSkipped = 4
+)
+
+// conn is one connection to a backend server.
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	writer *bufio.Writer
+	// expires is when the connection is not used again.
+	expires time.Time
+}
+
+// Failure says what broke and whether the request may have reached the server.
+type Failure struct {
+	// Sent says that bytes may have reached the server.
+	Sent bool
+	// Unconnected says that no connection came about.
+	Unconnected bool
+	// Crossed says that the answers on the connection belonged to others.
+	Crossed bool
+	// Reused says that the connection had served another request before.
+	Reused bool
+	Err    error
+}
+
+// Error describes the failure.
+func (f *Failure) Error() string { return f.Err.Error() }
+
+// Answer is the answer to one request.
+type Answer struct {
+	*http.Response
+	// Content is the whole body, unless Rest is not nil: then it is the body's
+	// beginning and Rest gives what follows.
+	Content []byte
+	Rest    io.Reader
+	// Finish must be called; it keeps or closes the connection.
+	Finish func()
+}
+
+// Exchange sends a request to a server and reads its answer. The context bounds
+// all of it; when it ends, the connection is closed. Body is sent behind the
+// request's head; it may be sent from another goroutine until Finish is called.
+func (p *Pool) Exchange(ctx context.Context, server *routing.Server, request *http.Request, id string) (*Answer, *Failure) {
+	link, reused, err := p.connect(ctx, server)
+	if err != nil {
+		return nil, &Failure{
+			Unconnected: true,
+			Err:         err,
+		}
+	}
+	stop := context.AfterFunc(ctx, func() {
+		// An expired deadline ends reads and writes at once; Close follows.
+		_ = link.SetDeadline(time.Unix(1, 0))
+	})
+	answer, failure := p.exchange(link, server.Incarnation(), request, id)
+	if failure != nil {
+		stop()
+		link.shut()
+		failure.Reused = reused
+		return nil, failure
+	}
+	finish := answer.Finish
+	answer.Finish = func() {
+		if !stop() {
+			link.shut()
+			return
+		}
+		finish()
+	}
+	return answer, nil
+}
+
+// shut closes a connection that is of no more use; its error changes nothing.
+func (c *conn) shut() { _ = c.Close() }
+
+func (p *Pool) exchange(link *conn, owner routing.Incarnation, request *http.Request, id string) (*Answer, *Failure) {
+	var sending sync.WaitGroup
+	var sendErr error
+	sent := make(chan struct{})
+	send := func() {
+		defer close(sent)
+		if sendErr = request.Write(link.writer); sendErr == nil {
+			sendErr = link.writer.Flush()
+		}
+	}
+	if request.ContentLength >= 0 && request.ContentLength <= inlineBody {
+		send()
+		if sendErr != nil {
+			return nil, &Failure{
+				Sent: true,
+				Err:  errors.Wrap(sendErr, "send request"),
+			}
+		}
+	} else {
+		sending.Go(send)
+	}
+	response, failure := p.readAnswer(link, request, id)
+	if failure != nil {
+		link.shut()
+		sending.Wait()
+		return nil, failure
+	}
+	answer, err := buffer(response)
+	if err != nil {
+		link.shut()
+		sending.Wait()
+		return nil, &Failure{
+			Sent: true,
+			Err:  errors.Wrap(err, "read answer"),
+		}
+	}
+	answer.Finish = func() {
+		whole := false
+		select {
+		case <-sent:
+			whole = sendErr == nil
+		default:
+		}
+		if !whole || answer.Rest != nil || response.Close || link.reader.Buffered() > 0 {
+			link.shut()
+			sending.Wait()
+			return
+		}
+		p.keep(owner, link, response.Header)
+	}
+	return answer, nil
+}
+
+// readAnswer reads the answer with the request's ID and skips others.
+func (p *Pool) readAnswer(link *conn, request *http.Request, id string) (*http.Response, *Failure) {
+	for range maxSkipped {
+		response, err := http.ReadResponse(link.reader, request)
+		if err != nil {
+			return nil, &Failure{
+				Sent: true,
+				Err:  errors.Wrap(err, "read answer"),
+			}
+		}
+		if response.StatusCode < http.StatusOK {
+			continue
+		}
+		if response.Header.Get(p.Names.RequestID) == id {
+			return response, nil
+		}
+		if _, err := io.Copy(io.Discard, response.Body); err != nil || response.Close {
+			break
+		}
+	}
+	return nil, &Failure{
+		Sent:    true,
+		Crossed: true,
+		Err:     errors.New("the answers on the connection belong to other requests"),
+	}
+}
+
+// buffer reads the body of an answer up to bufferedBody bytes.
+func buffer(response *http.Response) (*Answer, error) {
+	answer := &Answer{
+		Response: response,
+	}
+	var content []byte
+	if response.ContentLength >= 0 && response.ContentLength <= bufferedBody {
+		content = make([]byte, response.ContentLength)
+		if _, err := io.ReadFull(response.Body, content); err != nil {
+			return nil, err
+		}
+		answer.Content = content
+		return answer, nil
+	}
+	content, err := io.ReadAll(io.LimitReader(response.Body, bufferedBody))
+	if err != nil {
+		return nil, err
+	}
+	answer.Content = content
+	if len(content) == bufferedBody {
+		answer.Rest = response.Body
+	}
+	return answer, nil
+}
+
+// connect returns a kept connection or a new one.
+func (p *Pool) connect(ctx context.Context, server *routing.Server) (link *conn, reused bool, err error) {
+	for {
+		link := p.take(server.Incarnation())
+		if link == nil {
+			break
+		}
+		if quiet(link.Conn) {
+			return link, true, nil
+		}
+		link.shut()
+	}
+	opened, err := p.Dial(ctx, server.Address)
+	if err != nil {
+		return nil, false, err
+	}
+	return &conn{
+		Conn:   opened,
+		reader: bufio.NewReaderSize(opened, 4<<10),
+		writer: bufio.NewWriterSize(opened, 4<<10),
+	}, false, nil
+}
+
+// take returns the connection that was kept last and closes those that expired.
+func (p *Pool) take(owner routing.Incarnation) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.idle[owner]
+	now := time.Now()
+	for len(kept) > 0 && now.After(kept[0].expires) {
+		kept[0].shut()
+		kept = kept[1:]
+	}
+	if len(kept) == 0 {
+		delete(p.idle, owner)
+		return nil
+	}
+	link := kept[len(kept)-1]
+	p.idle[owner] = kept[:len(kept)-1]
+	return link
+}
+
+func (p *Pool) keep(owner routing.Incarnation, link *conn, answer http.Header) {
+	lifetime := defaultIdle
+	for part := range strings.SplitSeq(answer.Get("Keep-Alive"), ",") {
+		if text, is := strings.CutPrefix(strings.TrimSpace(part), "timeout="); is {
+			if seconds, err := strconv.Atoi(text); err == nil {
+				lifetime = time.Duration(seconds)*time.Second - idleMargin
+			}
+		}
+	}
+	if lifetime <= 0 {
+		link.shut()
+		return
+	}
+	link.expires = time.Now().Add(lifetime)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.idle == nil {
+		p.idle = make(map[routing.Incarnation][]*conn)
+	}
+	p.idle[owner] = append(p.idle[owner], link)
+}
+
+// Sweep closes connections that expired and those of servers that are gone.
+func (p *Pool) Sweep(alive func(owner routing.Incarnation) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	for owner, kept := range p.idle {
+		left := kept[:0]
+		for _, link := range kept {
+			if now.After(link.expires) || !alive(owner) {
+				link.shut()
+				continue
+			}
+			left = append(left, link)
+		}
+		if len(left) == 0 {
+			delete(p.idle, owner)
+			continue
+		}
+		p.idle[owner] = left
+	}
+}
--- a/header/header.go
+++ b/header/header.go
@@ -96,3 +96,27 @@
 		headers.Del(name)
 	}
 }
+
+// Names holds what the requests and answers of a platform's own callers and
+// backend servers call their headers.
+type Names struct {
+	// RequestID identifies one attempt of a caller; backend servers echo it.
+	RequestID string
+	// DeadlineMS is how many milliseconds the sender will wait.
+	DeadlineMS string
+	// Object names the cookie whose value identifies the object that a request
+	// concerns.
+	Object string
+	// Stamp signs an answer as the backend server's own.
+	Stamp string
+	// Target names the only backend server that may run the request.
+	Target string
+	// Load holds a backend server's running requests, waiting requests and slots.
+	Load string
+	// NotExecuted is set on an answer to a request that did not run.
+	NotExecuted string
+	// Instance is the backend server's ID in answers to probes.
+	Instance string
+	// ColdMS is how much longer a backend server is cold, in answers to probes.
+	ColdMS string
+}
--- /dev/null
+++ b/logline/buffer.go
@@ -0,0 +1,123 @@
+package logline
+
+import (
+	"bytes"
+	"io"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+)
+
+// Buffer passes lines on to a writer from a goroutine of its own, in bounded
+// memory, so that a writer that hangs never blocks who logs. When it is full,
+// new lines are dropped, those of successes first; a line tells how many.
+type Buffer struct {
+	target io.Writer
+	mu     sync.Mutex
+	// pending holds the lines to be written next.
+	pending bytes.Buffer
+	dropped int
+	closed  bool
+	wake    chan struct{}
+	group   sync.WaitGroup
+}
+
+const (
+	// bufferBytes bounds the lines that wait; plainBytes is where lines below the
+	// level of warnings are dropped, so that room is left for the others.
+	bufferBytes = 1 << 20
+	plainBytes  = bufferBytes * 3 / 4
+	// flushInterval gathers lines, so that a write carries many.
+	flushInterval = 200 * time.Millisecond
+	// closeTimeout bounds the last write.
+	closeTimeout = 200 * time.Millisecond
+)
+
+// NewBuffer returns a buffer before a writer.
+func NewBuffer(target io.Writer) *Buffer {
+	b := &Buffer{
+		target: target,
+		wake:   make(chan struct{}, 1),
+	}
+	b.group.Go(b.run)
+	return b
+}
+
+// WriteEntry takes one line.
+func (b *Buffer) WriteEntry(entry *log.Entry) (int, error) {
+	line := entry.Value()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	limit := bufferBytes
+	if entry.Level < log.WarnLevel {
+		limit = plainBytes
+	}
+	if b.closed || b.pending.Len()+len(line) > limit {
+		b.dropped++
+		return len(line), nil
+	}
+	first := b.pending.Len() == 0
+	b.pending.Write(line)
+	if first {
+		select {
+		case b.wake <- struct{}{}:
+		default:
+		}
+	}
+	return len(line), nil
+}
+
+func (b *Buffer) run() {
+	for range b.wake {
+		time.Sleep(flushInterval)
+		if b.flush() {
+			return
+		}
+	}
+}
+
+// flush writes what is pending and reports whether the buffer is closed.
+func (b *Buffer) flush() bool {
+	b.mu.Lock()
+	lines := bytes.Clone(b.pending.Bytes())
+	b.pending.Reset()
+	if b.dropped > 0 {
+		lines = append(lines, `{"level":"warn","event":"log-lines-dropped","count":`+strconv.Itoa(b.dropped)+"}\n"...)
+		b.dropped = 0
+	}
+	closed := b.closed
+	b.mu.Unlock()
+	// There is nowhere to report that standard output fails.
+	_, _ = b.target.Write(lines)
+	return closed
+}
+
+// Close writes what is pending, for a bounded time.
+func (b *Buffer) Close() {
+	b.mu.Lock()
+	b.closed = true
+	b.mu.Unlock()
+	done := make(chan struct{})
+	var group sync.WaitGroup
+	group.Go(func() {
+		defer close(done)
+		b.flush()
+	})
+	select {
+	case <-done:
+	case <-time.After(closeTimeout):
+	}
+}
+
+// NewJSON returns a logger that writes one JSON object a line to a buffer.
+func NewJSON(lines *Buffer, field, name string) *log.Logger {
+	return &log.Logger{
+		Level:      log.InfoLevel,
+		TimeField:  "time",
+		TimeFormat: timeFormat,
+		Context:    log.NewContext(nil).Str(field, name).Value(),
+		Writer:     lines,
+	}
+}
