Shares of the retry budget hold before entries know each other

Cause: an entry that has just started knew no others and took the whole slack; delayed repeats arrive in a later window.

--- a/entry/gate.go
+++ b/entry/gate.go
@@ -73,7 +73,7 @@
 		Store:  g.newStore(),
 		Logger: logger,
 	}
-	g.fleet = placement.New(settings.Region, g.roster.Count,
+	g.fleet = placement.New(settings.Region, g.entries,
 		placement.WithHomeWeight(homeWeight, uploadHomeWeight),
 		placement.WithColdBound(bounds.ColdFactor, bounds.ColdSlack))
 	g.fleet.Changed = g.serverChanged
@@ -101,7 +101,7 @@
 			Ratio:   bounds.RetryRatio,
 			Window:  bounds.RetryWindow,
 			Slack:   bounds.RetrySlack,
-			Entries: g.roster.Count,
+			Entries: g.entries,
 		},
 		Quarantine: &g.suspects,
 		Closing:    g.leaving.Load,
@@ -172,6 +172,12 @@
 	return g.registry.Known() && !g.leaving.Load()
 }
 
+// entries returns how many entries share what is bounded over all of them.
+// There is one in each failure domain at least, whether it is known yet or not.
+func (g *gate) entries() int {
+	return max(g.roster.Count(), len(g.settings.Load().Domains)+1)
+}
+
 func (g *gate) self() presence.Member {
 	settings := g.settings.Load()
 	return presence.Member{
--- a/entry/gateway/budget.go
+++ b/entry/gateway/budget.go
@@ -19,6 +19,12 @@
 	services map[string]*usage
 }
 
+// budgetShare is the part of the bound that is used. The rest is for what the
+// entries can't see of each other: repeats that are delayed on their way and
+// arrive in a later window, and an entry that starts again and has forgotten
+// those of its last window.
+const budgetShare = 0.7
+
 // usage counts the requests and repeats of one service.
 type usage struct {
 	requests []time.Time
@@ -38,7 +44,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	used := b.usage(service)
-	allowed := b.Ratio*float64(len(used.requests)) + b.Slack/float64(max(1, b.Entries()))
+	allowed := budgetShare * (b.Ratio*float64(len(used.requests)) + b.Slack/float64(max(1, b.Entries())))
 	if float64(len(used.repeats)+1) > allowed {
 		return false
 	}
