A registration's last state in one answer of the store counts

Cause: an answer held a renewed registration and its removal; removals were applied before renewals, so that the server was added again and stayed for good.

--- a/entry/registry/tables.go
+++ b/entry/registry/tables.go
@@ -86,10 +86,11 @@
 }
 
 // changeServers takes changed registrations over. A registration that can't be
-// read names no server to use; one that could be read before stays as it was.
+// read names no server to use.
 func (r *Registry) changeServers(rows []platform.Record) {
-	var news []routing.Server
-	var gone []string
+	// One answer may hold several states of a row; the last one counts.
+	news := make(map[string]routing.Server)
+	gone := make(map[string]bool)
 	r.mu.Lock()
 	if r.versions == nil {
 		r.versions = make(map[string]uint64)
@@ -103,10 +104,11 @@
 		}
 		if row.Removed {
 			delete(r.versions, row.Key)
+			delete(news, row.Key)
 			if unsure {
 				r.lapsed[row.Key] = now
 			} else {
-				gone = append(gone, row.Key)
+				gone[row.Key] = true
 			}
 			continue
 		}
@@ -114,23 +116,25 @@
 		server, err := platform.DecodeServer(row.Key, row.Value, r.Regions)
 		if err != nil {
 			r.Logger.Warn().Str("event", "registration-unreadable").Str("server", row.Key).Err(err).Msg("")
-			gone = append(gone, row.Key)
+			delete(news, row.Key)
+			gone[row.Key] = true
 			continue
 		}
 		delete(r.lapsed, row.Key)
-		news = append(news, server)
+		delete(gone, row.Key)
+		news[row.Key] = server
 	}
 	for _, id := range slices.Sorted(maps.Keys(r.lapsed)) {
 		if now.Sub(r.regained) >= lapseGrace {
 			delete(r.lapsed, id)
-			gone = append(gone, id)
+			gone[id] = true
 		}
 	}
 	r.mu.Unlock()
 	if len(gone) > 0 {
-		r.Remove(gone)
+		r.Remove(slices.Sorted(maps.Keys(gone)))
 	}
 	if len(news) > 0 {
-		r.Update(news)
+		r.Update(slices.Collect(maps.Values(news)))
 	}
 }
