--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -49,15 +49,15 @@
 const (
 	// callTimeout bounds a call to the store beside what it is asked to wait.
 	callTimeout = 1500 * time.Millisecond
-	// operatorWait is how long the store holds a call for operators' changes. It
-	// answers at once when there is one.
-	operatorWait = 10 * time.Second
+	// feedWait is how long the store holds a call for changes. It answers at once
+	// when there is one.
+	feedWait = 10 * time.Second
 	// retryFirst and retryMost bound the pause after a failed call.
 	retryFirst = 100 * time.Millisecond
-	retryMost  = 800 * time.Millisecond
+	retryMost  = 300 * time.Millisecond
 	// lapseGrace is how long after an outage of the store a registration may be
 	// missing although its server lives: two seconds by the platform's pages.
-	lapseGrace = 2500 * time.Millisecond
+	lapseGrace = 2 * time.Second
 )
 
 // Configuration returns the newest configuration, or nil.
@@ -94,7 +94,7 @@
 	return feed{
 		store:   r.Operators,
 		table:   platform.OperatorTable,
-		wait:    operatorWait,
+		wait:    feedWait,
 		replace: r.replaceOperators,
 		change:  r.changeOperators,
 	}
@@ -104,6 +104,7 @@
 	return feed{
 		store:   r.Servers,
 		table:   platform.ServerTable,
+		wait:    feedWait,
 		pause:   r.Interval,
 		replace: r.replaceServers,
 		change:  r.changeServers,
