--- a/entry/gate.go
+++ b/entry/gate.go
@@ -73,7 +73,7 @@
 		Store:  g.newStore(),
 		Logger: logger,
 	}
-	g.fleet = placement.New(settings.Region, g.entries,
+	g.fleet = placement.New(settings.Region, g.place,
 		placement.WithHomeWeight(homeWeight, uploadHomeWeight),
 		placement.WithColdBound(bounds.ColdFactor, bounds.ColdSlack))
 	g.fleet.Changed = g.serverChanged
@@ -90,6 +90,7 @@
 		Evacuate:   g.fleet.Evacuate,
 		Update:     g.fleet.Update,
 		Remove:     g.fleet.Remove,
+		Doubt:      g.fleet.Doubt,
 		Logger:     logger,
 	}
 	g.gateway = &gateway.Gateway{
@@ -172,10 +173,16 @@
 	return g.registry.Known() && !g.leaving.Load()
 }
 
-// entries returns how many entries share what is bounded over all of them.
-// There is one in each failure domain at least, whether it is known yet or not.
+// place returns this entry's place among all entries and how many there are: one
+// in each failure domain at least, whether it is known yet or not.
+func (g *gate) place() (index, count int) {
+	index, count = g.roster.Place()
+	return index, max(count, len(g.settings.Load().Domains)+1)
+}
+
 func (g *gate) entries() int {
-	return max(g.roster.Count(), len(g.settings.Load().Domains)+1)
+	_, count := g.place()
+	return count
 }
 
 func (g *gate) self() presence.Member {
--- a/entry/placement/placement.go
+++ b/entry/placement/placement.go
@@ -18,8 +18,8 @@
 type Fleet struct {
 	// Region is the entry's own.
 	Region string
-	// Entries returns how many entries share what is bounded over all of them.
-	Entries func() int
+	// Entries returns this entry's place among all entries and how many there are.
+	Entries func() (index, count int)
 	// Changed is told of each change of belief about a server; it may be nil.
 	Changed func(server *routing.Server, belief Belief, cause string)
 
@@ -41,6 +41,7 @@
 	BeliefDraining Belief = "draining"
 	BeliefGone     Belief = "gone"
 	BeliefFailing  Belief = "failing"
+	BeliefDoubtful Belief = "doubtful"
 )
 
 type options struct {
@@ -71,7 +72,7 @@
 }
 
 // New returns a fleet without servers.
-func New(region string, entries func() int, opts ...Option) *Fleet {
+func New(region string, entries func() (index, count int), opts ...Option) *Fleet {
 	fleet := &Fleet{
 		Region:  region,
 		Entries: entries,
@@ -100,11 +101,13 @@
 	// others is how many requests of other entries the server had at othersAt.
 	others   float64
 	othersAt time.Time
-	// coldUntil is when it stops to be cold, coldNext when this entry may send it
-	// its next request until then.
+	// coldUntil is when it stops to be cold, coldTurn this entry's last turn
+	// there.
 	coldUntil time.Time
-	coldNext  time.Time
+	coldTurn  int64
 	health    health
+	// doubtful says that the server may be gone.
+	doubtful bool
 }
 
 // Request is what placement needs to know of a request.
@@ -150,7 +153,7 @@
 		return Choice{}, RefusalNoServer
 	}
 	for rank, each := range ranked {
-		if each.load(now) < each.room(rank) && each.admitsCold(now) {
+		if each.load(now) < each.room(rank) && f.admitsCold(each, now) {
 			return f.take(each, rank, now), RefusalNone
 		}
 	}
@@ -168,7 +171,7 @@
 		choice.Age = now.Sub(each.othersAt)
 	}
 	if now.Before(each.coldUntil) {
-		each.coldNext = now.Add(f.coldInterval(each))
+		each.coldTurn, _ = f.coldTurn(each, now)
 	}
 	each.inFlight++
 	return choice
@@ -213,6 +216,12 @@
 		order = slices.DeleteFunc(order, func(each scored) bool { return each.server.health.failing(now) })
 	}
 	slices.SortFunc(order, func(a, b scored) int {
+		if a.server.doubtful != b.server.doubtful {
+			if b.server.doubtful {
+				return -1
+			}
+			return 1
+		}
 		if a.score > b.score {
 			return -1
 		}
@@ -286,15 +295,39 @@
 	return float64(s.Slots)
 }
 
-func (s *server) admitsCold(now time.Time) bool {
-	return !now.Before(s.coldUntil) || !now.Before(s.coldNext)
+// admitsCold reports whether a server is not cold, or this entry may send it a
+// request now.
+func (f *Fleet) admitsCold(each *server, now time.Time) bool {
+	if !now.Before(each.coldUntil) {
+		return true
+	}
+	turn, open := f.coldTurn(each, now)
+	return open && turn != each.coldTurn
 }
 
-// coldInterval is the time between two requests of this entry to a cold server.
-func (f *Fleet) coldInterval(each *server) time.Duration {
-	rate := f.options.coldSlack / 2
+// coldSlot is how long an entry's turn at a cold server lasts: the span over
+// which the bound is counted.
+const coldSlot = time.Second
+
+// coldTurn returns the number of this entry's turn at a cold server and whether
+// it is open. Entries take turns by the time of day, without a message; each
+// sends one request in its turn. Any second touches the turns of two seconds,
+// so turns begin at half of the bounded rate. Clocks that differ shift turns
+// but do not add any.
+func (f *Fleet) coldTurn(each *server, now time.Time) (turn int64, open bool) {
+	bound := f.options.coldSlack
 	if service := f.settings[each.Service]; service != nil {
-		rate += service.ColdRate * f.options.coldFactor
+		bound += service.ColdRate * f.options.coldFactor
 	}
-	return time.Duration(float64(f.Entries()) / max(rate, 0.1) * float64(time.Second))
+	index, count := f.Entries()
+	cycle := time.Duration(float64(count) / max(bound/2, minColdRate) * float64(time.Second))
+	cycle = max(cycle, coldSlot)
+	offset := cycle / time.Duration(count) * time.Duration(index)
+	// Servers that turn cold together have their turns at different times.
+	offset += time.Duration(each.hash % uint64(cycle))
+	at := now.UnixNano() - int64(offset)
+	return at / int64(cycle), at%int64(cycle) < int64(coldSlot)
 }
+
+// minColdRate is the least rate at which cold servers are tried, a second.
+const minColdRate = 0.1
--- a/entry/placement/update.go
+++ b/entry/placement/update.go
@@ -63,6 +63,21 @@
 	}
 }
 
+// Doubt sets the servers that may be gone: they get a request only when no
+// other server can.
+func (f *Fleet) Doubt(ids []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, each := range f.servers {
+		if doubtful := slices.Contains(ids, each.ID); doubtful != each.doubtful {
+			each.doubtful = doubtful
+			if doubtful {
+				f.tell(each, BeliefDoubtful, "registration is missing after an outage of the store")
+			}
+		}
+	}
+}
+
 // Remove drops servers whose registrations are gone.
 func (f *Fleet) Remove(ids []string) {
 	f.mu.Lock()
--- a/entry/presence/presence.go
+++ b/entry/presence/presence.go
@@ -243,11 +243,18 @@
 	return true
 }
 
-// Count returns how many entries there are, this one and silent ones included.
-func (r *Roster) Count() int {
+// Place returns this entry's place among all entries in the order of their
+// names, silent ones included, and how many there are.
+func (r *Roster) Place() (index, count int) {
+	self := r.Self().Name
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.members) + 1
+	for name := range r.members {
+		if name < self {
+			index++
+		}
+	}
+	return index, len(r.members) + 1
 }
 
 // Serving returns the entries that callers may be sent to, this one included if
--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -30,7 +30,9 @@
 	Evacuate   func(domains map[string]bool)
 	Update     func([]routing.Server)
 	Remove     func(ids []string)
-	Logger     *log.Logger
+	// Doubt says that servers may be gone.
+	Doubt  func(ids []string)
+	Logger *log.Logger
 
 	configuration atomic.Pointer[routing.Configuration]
 	serversKnown  atomic.Bool
@@ -150,7 +152,11 @@
 		each.replace(all.Rows)
 		return all.Version, true, nil
 	}
-	changes, err := each.store.Changes(ctx, each.table, version, each.wait)
+	wait := each.wait
+	if each.table == platform.ServerTable {
+		wait = min(wait, r.lapseWait())
+	}
+	changes, err := each.store.Changes(ctx, each.table, version, wait)
 	if errors.Is(err, platform.ErrHistoryGone) {
 		r.Logger.Info().Str("event", "history-gone").Str("table", each.table).Uint64("version", version).Msg("")
 		return version, false, nil
@@ -163,6 +169,17 @@
 	return max(version, changes.Version), true, nil
 }
 
+// lapseWait is how long until missing registrations count as gone; it is long
+// when none is missing.
+func (r *Registry) lapseWait() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.lapsed) == 0 {
+		return feedWait
+	}
+	return max(0, lapseGrace-time.Since(r.regained))
+}
+
 // outage notes that the store did not answer.
 func (r *Registry) outage(table string) {
 	if table != platform.ServerTable {
--- a/entry/registry/tables.go
+++ b/entry/registry/tables.go
@@ -130,7 +130,9 @@
 			gone[id] = true
 		}
 	}
+	doubtful := slices.Sorted(maps.Keys(r.lapsed))
 	r.mu.Unlock()
+	r.Doubt(doubtful)
 	if len(gone) > 0 {
 		r.Remove(slices.Sorted(maps.Keys(gone)))
 	}
