--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -13,8 +13,8 @@
 
 const (
 	// answerSlack is how long after a request's limit an answer that the server
-	// gives at that limit is waited for; answers are due half a second after it.
-	answerSlack = 250 * time.Millisecond
+	// gives at that limit is waited for; the way there and back is the longest part of it, and an answer held for a quarter of a second counts as late.
+	answerSlack = 180 * time.Millisecond
 	// minSend is the least time left at which a request is sent to a server.
 	minSend = 20 * time.Millisecond
 	// maxUnconnected bounds the servers that one request fails to connect to.
