--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -51,6 +51,7 @@
 			Object:  req.object,
 			Kind:    req.route.Kind,
 			Route:   req.route,
+			Left:    time.Until(req.limit),
 			Tried:   req.tried,
 		})
 		if refusal != placement.RefusalNone {
@@ -107,7 +108,7 @@
 	}
 	leave, allowed := g.Quarantine.Enter(req.digest, choice.Server.ID)
 	if !allowed {
-		g.Fleet.Done(&choice, placement.SignNone, nil)
+		g.Fleet.Done(&choice, placement.SignNone, nil, 0)
 		result.reason = outcome.ReasonQuarantined
 		result.failure = &upstream.Failure{
 			Unconnected: true,
@@ -123,8 +124,13 @@
 	} else {
 		g.judgeFailure(ctx, req, &result)
 	}
-	g.Fleet.Done(&choice, result.sign, report)
-	line := g.log(req, "sent", &choice).Int64("took-ms", time.Since(sent).Milliseconds())
+	took := time.Since(sent)
+	if result.answer != nil && result.answer.Connected > 0 {
+		g.Fleet.Connected(choice.Server.Region, result.answer.Connected)
+		took -= result.answer.Connected
+	}
+	g.Fleet.Done(&choice, result.sign, report, took)
+	line := g.log(req, "sent", &choice).Int64("took-ms", took.Milliseconds()).Int64("expected-ms", choice.Expected.Milliseconds())
 	if result.answer != nil {
 		line = line.Int("status", result.answer.StatusCode)
 	}
--- a/entry/placement/placement.go
+++ b/entry/placement/placement.go
@@ -29,6 +29,11 @@
 	services  map[string][]*server
 	evacuated map[string]bool
 	settings  map[string]*routing.Service
+	// work estimates how long a warm server takes, by route; travel the way to a
+	// region and back.
+	work   map[string]*estimate
+	travel map[string]time.Duration
+	warm   warmth
 }
 
 // Belief is what an entry holds of a backend server.
@@ -85,6 +90,8 @@
 		services:  make(map[string][]*server),
 		evacuated: make(map[string]bool),
 		settings:  make(map[string]*routing.Service),
+		work:      make(map[string]*estimate),
+		travel:    make(map[string]time.Duration),
 	}
 	for _, option := range opts {
 		option(&fleet.options)
@@ -106,6 +113,9 @@
 	coldUntil time.Time
 	coldTurn  int64
 	health    health
+	// pace is how many times longer than others the server takes, at pacedAt.
+	pace    float64
+	pacedAt time.Time
 	// doubtful says that the server may be gone.
 	doubtful bool
 }
@@ -117,6 +127,8 @@
 	Object uint64
 	Kind   routing.Kind
 	Route  *routing.Route
+	// Left is the time until the answer is due; 0 sets no bound.
+	Left time.Duration
 	// Tried are servers that the request was sent to already.
 	Tried []string
 }
@@ -126,10 +138,16 @@
 	Server routing.Server
 	// Rank is the server's place in the object's order, from 0.
 	Rank int
+	// Expected is how long the answer is expected to take.
+	Expected time.Duration
 	// Load is the server's requests as this entry estimates them, Age how old the
 	// server's own figure is; 0 if there is none.
 	Load float64
 	Age  time.Duration
+
+	route string
+	work  time.Duration
+	pace  float64
 }
 
 // Refusal says why no server was chosen.
@@ -152,12 +170,32 @@
 	if len(ranked) == 0 {
 		return Choice{}, RefusalNoServer
 	}
+	best, bestCost, considered := -1, time.Duration(0), 0
 	for rank, each := range ranked {
-		if each.load(now) < each.room(rank) && f.admitsCold(each, now) {
-			return f.take(each, rank, now), RefusalNone
+		if each.load(now) >= maxLoad*float64(each.Slots) || !f.admitsCold(each, now) {
+			continue
+		}
+		cost := f.cost(request, each, rank, now)
+		if best < 0 || cost < bestCost {
+			best, bestCost = rank, cost
 		}
+		considered++
+		if considered == candidates {
+			break
+		}
+	}
+	if best < 0 || request.Left > 0 && bestCost > request.Left {
+		return Choice{}, RefusalFull
 	}
-	return Choice{}, RefusalFull
+	choice := f.take(ranked[best], best, now)
+	choice.Expected = bestCost
+	choice.work = f.workOf(request)
+	choice.pace = ranked[best].paceAt(now)
+	if request.Route != nil {
+		choice.route = request.Route.Name
+	}
+	f.remember(request, ranked[best], now)
+	return choice, RefusalNone
 }
 
 // take counts a request at a server.
@@ -271,6 +309,12 @@
 	// panicShare is the part of a service's servers above which none is left out
 	// for failing.
 	panicShare = 0.5
+	// candidates is how many servers of an object's order are compared: the first
+	// has it warm, the next ones take what it has no room for and turn warm too.
+	candidates = 3
+	// maxLoad is the most requests given to a server, in its slots: servers queue
+	// a few and turn away what is beyond.
+	maxLoad = 3
 	// othersHalfLife is how long it takes until half of the requests that a server
 	// last reported are taken to be done.
 	othersHalfLife = 500 * time.Millisecond
@@ -285,16 +329,6 @@
 	return float64(s.inFlight) + others
 }
 
-// room is the load up to which a server is given more: the first of an
-// object's order may hold as many waiting requests as running ones, since a
-// warm server with a short queue is faster than a free one that is not.
-func (s *server) room(rank int) float64 {
-	if rank == 0 {
-		return 2 * float64(s.Slots)
-	}
-	return float64(s.Slots)
-}
-
 // admitsCold reports whether a server is not cold, or this entry may send it a
 // request now.
 func (f *Fleet) admitsCold(each *server, now time.Time) bool {
--- a/entry/placement/update.go
+++ b/entry/placement/update.go
@@ -114,8 +114,9 @@
 }
 
 // Done ends a request that Choose placed. The report is nil where the answer
-// had none.
-func (f *Fleet) Done(choice *Choice, sign Sign, report *Report) {
+// had none; took is how long the answer took, 0 if that tells nothing of the
+// server.
+func (f *Fleet) Done(choice *Choice, sign Sign, report *Report, took time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	known := f.servers[choice.Server.ID]
@@ -133,6 +134,9 @@
 		known.others = max(0, float64(report.Running+report.Waiting-1-known.inFlight))
 		known.othersAt = now
 	}
+	if took > 0 && sign == SignAnswered {
+		f.learn(known, choice, took, now)
+	}
 	if sign == SignShed && report != nil && report.Running >= report.Slots {
 		sign = SignFull
 	}
--- a/entry/upstream/upstream.go
+++ b/entry/upstream/upstream.go
@@ -79,6 +79,8 @@
 	// beginning and Rest gives what follows.
 	Content []byte
 	Rest    io.Reader
+	// Connected is how long it took to open the connection, 0 for a kept one.
+	Connected time.Duration
 	// Finish must be called; it keeps or closes the connection.
 	Finish func()
 }
@@ -87,7 +89,9 @@
 // all of it; when it ends, the connection is closed. Body is sent behind the
 // request's head; it may be sent from another goroutine until Finish is called.
 func (p *Pool) Exchange(ctx context.Context, server *routing.Server, request *http.Request, id string) (*Answer, *Failure) {
+	began := time.Now()
 	link, reused, err := p.connect(ctx, server)
+	connected := time.Since(began)
 	if err != nil {
 		return nil, &Failure{
 			Unconnected: true,
@@ -105,6 +109,9 @@
 		failure.Reused = reused
 		return nil, failure
 	}
+	if !reused {
+		answer.Connected = connected
+	}
 	finish := answer.Finish
 	answer.Finish = func() {
 		if !stop() {
