--- a/entry/gate.go
+++ b/entry/gate.go
@@ -58,7 +58,7 @@
 	// homeWeight and uploadHomeWeight say how many times a server of the entry's
 	// own region counts in placement.
 	homeWeight       = 1.5
-	uploadHomeWeight = 6
+	uploadHomeWeight = 3
 )
 
 func newGate(settings platform.Settings, logger *log.Logger) *gate {
