--- a/entry/gateway/refusal.go
+++ b/entry/gateway/refusal.go
@@ -92,7 +92,7 @@
 func (g *Gateway) log(req *request, event string, choice *placement.Choice) *log.Entry {
 	line := g.Logger.Info().Str("event", event).Str("id", req.id).Uint64("version", req.version)
 	if req.route != nil {
-		line = line.Str("route", req.route.Name).Str("service", req.service).Int("sends", req.sends)
+		line = line.Str("route", req.route.Name).Str("service", req.service).Uint64("object", req.object>>40).Int("sends", req.sends)
 	}
 	if choice != nil {
 		line = line.Str("server", choice.Server.ID).Int("rank", choice.Rank).
