A server whose address was replaced is gone at once; returning callers first in the retry budget

Cause: a server that answers 421 got requests again after a second; refusals of servers with room came with the wait for a full one.

--- a/entry/gate.go
+++ b/entry/gate.go
@@ -55,6 +55,9 @@
 	// silentProbes of them without an answer end it.
 	silentProbe  = time.Second
 	silentProbes = 2
+	// breakLimit is how many servers a request may break before it is refused: the
+	// platform bounds what follows the third.
+	breakLimit = 3
 	// homeWeight and uploadHomeWeight say how many times a server of the entry's
 	// own region counts in placement.
 	homeWeight       = 1.5
@@ -67,6 +70,7 @@
 		metrics: metrics.NewRegistry(),
 	}
 	g.settings.Store(&settings)
+	g.suspects.Limit = breakLimit
 	bounds := settings.Bounds
 	g.roster = &presence.Roster{
 		Self:   g.self,
@@ -350,6 +354,7 @@
 		return
 	}
 	g.settings.Store(&settings)
+	g.suspects.Limit = breakLimit
 	g.logger.Info().Str("event", "reloaded").Str("cause", cause).Msg("")
 }
 
--- a/entry/gateway/budget.go
+++ b/entry/gateway/budget.go
@@ -39,12 +39,19 @@
 	used.requests = append(used.requests, time.Now())
 }
 
+// firstShare is the part of the budget that requests may use whose callers can
+// still come again; the rest is for those that have been refused before.
+const firstShare = 0.6
+
 // Take reports whether a request may be sent once more, and counts it if so.
-func (b *Budget) Take(service string) bool {
+func (b *Budget) Take(service string, returning bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	used := b.usage(service)
 	allowed := budgetShare * (b.Ratio*float64(len(used.requests)) + b.Slack/float64(max(1, b.Entries())))
+	if !returning {
+		allowed *= firstShare
+	}
 	if float64(len(used.repeats)+1) > allowed {
 		return false
 	}
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -39,6 +40,8 @@
 
 	inFlight atomic.Int64
 	buffered atomic.Int64
+	// longest holds the longest deadline of callers by route, in nanoseconds.
+	longest sync.Map
 }
 
 // defaultDeadline is how long a caller is taken to wait that does not say.
--- a/entry/gateway/refusal.go
+++ b/entry/gateway/refusal.go
@@ -27,6 +27,9 @@
 	startWait = 500 * time.Millisecond
 	// roomWait is when a server is likely to have room again: a request's work.
 	roomWait = 300 * time.Millisecond
+	// soonWait is for requests that a server turned away although it had room, or
+	// that met a server that is gone: another try may go well at once.
+	soonWait = 20 * time.Millisecond
 )
 
 // notRun refuses a request that has not run and never will.
@@ -41,7 +44,12 @@
 // refusalOf is the entry's answer to a request that ended without a server's.
 func refusalOf(reason outcome.Reason, ran bool) refusal {
 	if !ran {
-		return *notRun(reason, roomWait)
+		wait := roomWait
+		switch reason {
+		case outcome.ReasonShed, outcome.ReasonReplaced, outcome.ReasonConnect:
+			wait = soonWait
+		}
+		return *notRun(reason, wait)
 	}
 	status := http.StatusBadGateway
 	if reason == outcome.ReasonDeadline {
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/teaselstack/teaselstack/entry/placement"
@@ -149,7 +150,8 @@
 		result.sign = placement.SignShed
 		result.reason = outcome.ReasonShed
 		if answer.StatusCode == http.StatusMisdirectedRequest {
-			result.sign = placement.SignUnconnected
+			result.sign = placement.SignReplaced
+			result.reason = outcome.ReasonReplaced
 		}
 	case answer.Header.Get("Content-Encoding") != "",
 		answer.Header.Get(g.Names.Stamp) == "" && answer.StatusCode < http.StatusMultipleChoices:
@@ -210,9 +212,26 @@
 		result.reason == outcome.ReasonDeadline:
 		return false
 	}
-	return g.Budget.Take(req.service)
+	return g.Budget.Take(req.service, g.returning(req))
 }
 
+// returning reports whether a request seems to come from a caller that was
+// refused before: it has less time left than others on its route. It is served
+// before those that may come again.
+func (g *Gateway) returning(req *request) bool {
+	longest, _ := g.longest.LoadOrStore(req.route.Name, &atomic.Int64{})
+	deadline := longest.(*atomic.Int64)
+	given := int64(req.deadline.Sub(req.arrived))
+	if given > deadline.Load() {
+		deadline.Store(given)
+	}
+	return float64(given) < returningShare*float64(deadline.Load())
+}
+
+// returningShare is the part of a route's longest deadline below which a request
+// counts as one that comes again. A refusal and the way back take some time.
+const returningShare = 0.97
+
 // deliver gives the caller a server's answer.
 func (g *Gateway) deliver(w http.ResponseWriter, req *request, result *attempt) {
 	answer := result.answer
--- a/entry/placement/cost.go
+++ b/entry/placement/cost.go
@@ -16,7 +16,16 @@
 		own = coldWork
 	}
 	busy := (queued + own) * each.paceAt(now) * float64(work)
-	return f.travel[each.Region] + time.Duration(busy)
+	return f.travel[each.Region] + time.Duration(busy) + each.overdue(now)
+}
+
+// overdue is how much longer than expected this entry has been waiting for the
+// server's first answer since. A server that hangs shows by nothing else.
+func (s *server) overdue(now time.Time) time.Duration {
+	if s.inFlight == 0 || s.waitingSince.IsZero() {
+		return 0
+	}
+	return max(0, now.Sub(s.waitingSince)-s.waitingFor)
 }
 
 const (
--- a/entry/placement/health.go
+++ b/entry/placement/health.go
@@ -18,6 +18,8 @@
 	SignFull
 	// SignUnconnected means that no connection came about.
 	SignUnconnected
+	// SignReplaced means that another server has the address now.
+	SignReplaced
 	// SignBroken means that the answer was cut, spoilt or a failure.
 	SignBroken
 	// SignNone tells nothing of the server.
@@ -44,6 +46,9 @@
 	at       time.Time
 	until    time.Time
 	patience time.Duration
+	// replaced says that another server has the address: this one is gone, whether
+	// its registration is or not.
+	replaced bool
 }
 
 // decay ages the counts to a time.
@@ -61,6 +66,11 @@
 	if sign == SignNone || sign == SignFull {
 		return false
 	}
+	if sign == SignReplaced {
+		first := !h.replaced
+		h.replaced = true
+		return first
+	}
 	h.decay(now)
 	h.total++
 	if sign == SignAnswered {
@@ -81,5 +91,5 @@
 }
 
 func (h *health) failing(now time.Time) bool {
-	return now.Before(h.until)
+	return h.replaced || now.Before(h.until)
 }
--- a/entry/placement/placement.go
+++ b/entry/placement/placement.go
@@ -116,6 +116,10 @@
 	// pace is how many times longer than others the server takes, at pacedAt.
 	pace    float64
 	pacedAt time.Time
+	// waitingSince is when this entry began to wait for an answer without having
+	// had one since, waitingFor how long that may take.
+	waitingSince time.Time
+	waitingFor   time.Duration
 	// doubtful says that the server may be gone.
 	doubtful bool
 }
@@ -191,6 +195,9 @@
 	choice.Expected = bestCost
 	choice.work = f.workOf(request)
 	choice.pace = ranked[best].paceAt(now)
+	if each := ranked[best]; each.inFlight == 1 || each.waitingSince.IsZero() {
+		each.waitingSince, each.waitingFor = now, patience*bestCost
+	}
 	if request.Route != nil {
 		choice.route = request.Route.Name
 	}
@@ -234,7 +241,7 @@
 	order := make([]scored, 0, len(all))
 	failing := 0
 	for _, each := range all {
-		if each.Draining || f.evacuated[each.Domain] || slices.Contains(request.Tried, each.ID) {
+		if each.Draining || each.health.replaced || f.evacuated[each.Domain] || slices.Contains(request.Tried, each.ID) {
 			continue
 		}
 		if request.Route != nil && !request.Route.AllowsRegion(each.Region) {
@@ -315,6 +322,9 @@
 	// maxLoad is the most requests given to a server, in its slots: servers queue
 	// a few and turn away what is beyond.
 	maxLoad = 3
+	// patience is how many times the expected time a server may be silent before
+	// others are preferred.
+	patience = 2
 	// othersHalfLife is how long it takes until half of the requests that a server
 	// last reported are taken to be done.
 	othersHalfLife = 500 * time.Millisecond
--- a/entry/placement/update.go
+++ b/entry/placement/update.go
@@ -128,6 +128,9 @@
 		return
 	}
 	now := time.Now()
+	if sign != SignNone {
+		known.waitingSince, known.waitingFor = now, patience*choice.Expected
+	}
 	if report != nil {
 		// The report counts this entry's other requests too, not the one that it
 		// came with.
--- a/entry/quarantine/quarantine.go
+++ b/entry/quarantine/quarantine.go
@@ -22,6 +22,11 @@
 
 // List holds the suspects that this entry knows of. The zero value is empty.
 type List struct {
+	// Limit is how many backend servers a request may break before it is refused;
+	// 0 takes the usual two. Where callers send requests that can't be told apart,
+	// more breaks are needed before they are taken for one.
+	Limit int
+
 	mu       sync.Mutex
 	suspects map[Digest]*suspect
 	// running counts the suspects' requests by backend server.
@@ -141,7 +146,11 @@
 func (l *List) Quarantined(digest Digest) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.count(digest) >= limit
+	most := l.Limit
+	if most == 0 {
+		most = limit
+	}
+	return l.count(digest) >= most
 }
 
 // count returns how many backend servers a request broke. The caller holds the
