--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -37,6 +37,7 @@
 func (g *Gateway) run(ctx context.Context, w http.ResponseWriter, req *request) {
 	unconnected := 0
 	mayHaveRun := false
+	returning := g.returning(req)
 	last := outcome.ReasonNoRoom
 	for {
 		if g.Quarantine.Quarantined(req.digest) {
@@ -53,7 +54,10 @@
 			Kind:    req.route.Kind,
 			Route:   req.route,
 			Left:    time.Until(req.limit),
+			Waited:  time.Since(req.arrived),
 			Tried:   req.tried,
+
+			Returning: returning,
 		})
 		if refusal != placement.RefusalNone {
 			if req.sends == 0 {
@@ -78,7 +82,7 @@
 			return
 		}
 		last = result.reason
-		again := g.mayRepeat(req, &result)
+		again := g.mayRepeat(req, &result, returning)
 		if result.answer != nil {
 			if !again && result.ran {
 				g.deliver(w, req, &result)
@@ -204,7 +208,7 @@
 }
 
 // mayRepeat reports whether a request may be sent to another server.
-func (g *Gateway) mayRepeat(req *request, result *attempt) bool {
+func (g *Gateway) mayRepeat(req *request, result *attempt, returning bool) bool {
 	switch {
 	case req.sends >= req.route.Attempts,
 		result.ran && !req.repeatable(),
@@ -212,7 +216,7 @@
 		result.reason == outcome.ReasonDeadline:
 		return false
 	}
-	return g.Budget.Take(req.service, g.returning(req))
+	return g.Budget.Take(req.service, returning)
 }
 
 // returning reports whether a request seems to come from a caller that was
--- a/entry/placement/cost.go
+++ b/entry/placement/cost.go
@@ -10,7 +10,7 @@
 func (f *Fleet) cost(request *Request, each *server, rank int, now time.Time) time.Duration {
 	work := f.workOf(request)
 	slots := float64(each.Slots)
-	queued := max(0, each.load(now)+1-slots) / slots
+	queued := max(0, f.load(each, now)+1-slots) / slots
 	own := 1.0
 	if rank > 0 && !f.warm.has(each.hash, request.Object, now) {
 		own = coldWork
--- a/entry/placement/placement.go
+++ b/entry/placement/placement.go
@@ -33,7 +33,9 @@
 	// region and back.
 	work   map[string]*estimate
 	travel map[string]time.Duration
-	warm   warmth
+	// occupied is the load of each service.
+	occupied map[string]*occupancy
+	warm     warmth
 }
 
 // Belief is what an entry holds of a backend server.
@@ -92,6 +94,7 @@
 		settings:  make(map[string]*routing.Service),
 		work:      make(map[string]*estimate),
 		travel:    make(map[string]time.Duration),
+		occupied:  make(map[string]*occupancy),
 	}
 	for _, option := range opts {
 		option(&fleet.options)
@@ -133,6 +136,10 @@
 	Route  *routing.Route
 	// Left is the time until the answer is due; 0 sets no bound.
 	Left time.Duration
+	// Waited is how long the caller has been waiting, Returning says that it was
+	// refused before.
+	Waited    time.Duration
+	Returning bool
 	// Tried are servers that the request was sent to already.
 	Tried []string
 }
@@ -176,7 +183,7 @@
 	}
 	best, bestCost, considered := -1, time.Duration(0), 0
 	for rank, each := range ranked {
-		if each.load(now) >= maxLoad*float64(each.Slots) || !f.admitsCold(each, now) {
+		if f.load(each, now) >= maxLoad*float64(each.Slots) || !f.admitsCold(each, now) {
 			continue
 		}
 		cost := f.cost(request, each, rank, now)
@@ -188,7 +195,7 @@
 			break
 		}
 	}
-	if best < 0 || request.Left > 0 && bestCost > request.Left {
+	if best < 0 || !f.admits(request, ranked[best], bestCost, now) {
 		return Choice{}, RefusalFull
 	}
 	choice := f.take(ranked[best], best, now)
@@ -210,7 +217,7 @@
 	choice := Choice{
 		Server: each.Server,
 		Rank:   rank,
-		Load:   each.load(now),
+		Load:   f.load(each, now),
 	}
 	if !each.othersAt.IsZero() {
 		choice.Age = now.Sub(each.othersAt)
@@ -330,15 +337,62 @@
 	othersHalfLife = 500 * time.Millisecond
 )
 
-// load estimates the requests that a server runs or holds.
-func (s *server) load(now time.Time) float64 {
-	others := 0.0
-	if s.others > 0 {
-		others = s.others * math.Exp2(-float64(now.Sub(s.othersAt))/float64(othersHalfLife))
+// load estimates the requests that a server runs or holds: this entry's own and
+// those of others. What the server last said of those grows old; then the mean of
+// its service counts.
+func (f *Fleet) load(s *server, now time.Time) float64 {
+	mean := f.occupied[s.Service].at(now) * float64(s.Slots)
+	if s.othersAt.IsZero() {
+		return float64(s.inFlight) + mean
 	}
-	return float64(s.inFlight) + others
+	fresh := math.Exp2(-float64(now.Sub(s.othersAt)) / float64(othersHalfLife))
+	return float64(s.inFlight) + s.others*fresh + mean*(1-fresh)
 }
 
+// occupancy is the mean load of a service's servers that answers told lately, in
+// their slots.
+type occupancy struct {
+	mean float64
+	last time.Time
+}
+
+// occupancyShare is the weight of one report.
+const occupancyShare = 0.05
+
+func (o *occupancy) observe(share float64, now time.Time) {
+	o.mean += occupancyShare * (share - o.mean)
+	o.last = now
+}
+
+func (o *occupancy) at(now time.Time) float64 {
+	if o == nil {
+		return 0
+	}
+	return o.mean * math.Exp2(-float64(now.Sub(o.last))/float64(othersHalfLife))
+}
+
+// admits reports whether a request is given to a server. One that will have its
+// answer within its objective is. Another one is only where it takes no place
+// that such a request could use: at a server with a free slot, or, for a caller
+// that was refused before, one with a short queue.
+func (f *Fleet) admits(request *Request, each *server, cost time.Duration, now time.Time) bool {
+	if request.Left > 0 && cost > request.Left {
+		return false
+	}
+	if request.Route == nil || request.Route.Objective == 0 || request.Waited+cost <= request.Route.Objective {
+		return true
+	}
+	most := float64(each.Slots)
+	if request.Returning {
+		most *= returningLoad
+	}
+	return f.load(each, now) < most
+}
+
+// returningLoad is the most load, in slots, at which a server gets a request of
+// a caller that was refused before although its answer will be late.
+const returningLoad = 2
+
 // admitsCold reports whether a server is not cold, or this entry may send it a
 // request now.
 func (f *Fleet) admitsCold(each *server, now time.Time) bool {
