Entries tell each other their requests in flight by server, in datagrams

Cause: with 26 entries each hears of a server every six seconds only, so that queues were seen by nobody.

--- a/entry/gate.go
+++ b/entry/gate.go
@@ -16,6 +16,7 @@
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sys/unix"
 
+	teaselv1 "github.com/teaselstack/teaselstack/api/teasel/v1"
 	"github.com/teaselstack/teaselstack/entry/gateway"
 	"github.com/teaselstack/teaselstack/entry/placement"
 	"github.com/teaselstack/teaselstack/entry/presence"
@@ -81,6 +82,8 @@
 		placement.WithHomeWeight(homeWeight, uploadHomeWeight),
 		placement.WithColdBound(bounds.ColdFactor, bounds.ColdSlack))
 	g.fleet.Changed = g.serverChanged
+	g.roster.Fill = g.tell
+	g.roster.Learn = g.learn
 	g.pool = &upstream.Pool{
 		Names: platform.Headers,
 		Dial:  newDialer(connectTimeout).dial,
@@ -172,6 +175,18 @@
 		Str("service", server.Service).Str("failure-domain", server.Domain).Int64("sequence", server.Sequence).Msg("")
 }
 
+// tell adds what this entry knows to a message for its peers.
+func (g *gate) tell(message *teaselv1.Presence) {
+	g.fleet.Fill(message)
+	message.Suspects = g.suspects.News()
+}
+
+// learn takes over what a peer told.
+func (g *gate) learn(message *teaselv1.Presence) {
+	g.fleet.Learn(message)
+	g.suspects.Learn(message.GetSuspects())
+}
+
 // ready reports whether callers may be sent here.
 func (g *gate) ready() bool {
 	return g.registry.Known() && !g.leaving.Load()
--- a/entry/placement/placement.go
+++ b/entry/placement/placement.go
@@ -33,9 +33,9 @@
 	// region and back.
 	work   map[string]*estimate
 	travel map[string]time.Duration
-	// occupied is the load of each service.
-	occupied map[string]*occupancy
-	warm     warmth
+	warm   warmth
+	// told holds what peers said, by their names.
+	told map[string]*told
 }
 
 // Belief is what an entry holds of a backend server.
@@ -94,7 +94,6 @@
 		settings:  make(map[string]*routing.Service),
 		work:      make(map[string]*estimate),
 		travel:    make(map[string]time.Duration),
-		occupied:  make(map[string]*occupancy),
 	}
 	for _, option := range opts {
 		option(&fleet.options)
@@ -332,43 +331,21 @@
 	// patience is how many times the expected time a server may be silent before
 	// others are preferred.
 	patience = 2
-	// othersHalfLife is how long it takes until half of the requests that a server
-	// last reported are taken to be done.
-	othersHalfLife = 500 * time.Millisecond
+	// othersHalfLife is how long it takes until what a server reported counts half:
+	// about as long as a peer's word takes.
+	othersHalfLife = 150 * time.Millisecond
 )
 
 // load estimates the requests that a server runs or holds: this entry's own and
-// those of others. What the server last said of those grows old; then the mean of
-// its service counts.
+// those of others. What the server last said of those grows old; then what the
+// peers told counts.
 func (f *Fleet) load(s *server, now time.Time) float64 {
-	mean := f.occupied[s.Service].at(now) * float64(s.Slots)
+	told, _ := f.hearsay(s, now)
 	if s.othersAt.IsZero() {
-		return float64(s.inFlight) + mean
+		return float64(s.inFlight + told)
 	}
 	fresh := math.Exp2(-float64(now.Sub(s.othersAt)) / float64(othersHalfLife))
-	return float64(s.inFlight) + s.others*fresh + mean*(1-fresh)
-}
-
-// occupancy is the mean load of a service's servers that answers told lately, in
-// their slots.
-type occupancy struct {
-	mean float64
-	last time.Time
-}
-
-// occupancyShare is the weight of one report.
-const occupancyShare = 0.05
-
-func (o *occupancy) observe(share float64, now time.Time) {
-	o.mean += occupancyShare * (share - o.mean)
-	o.last = now
-}
-
-func (o *occupancy) at(now time.Time) float64 {
-	if o == nil {
-		return 0
-	}
-	return o.mean * math.Exp2(-float64(now.Sub(o.last))/float64(othersHalfLife))
+	return float64(s.inFlight) + s.others*fresh + float64(told)*(1-fresh)
 }
 
 // admits reports whether a request is given to a server. One that will have its
--- a/entry/placement/update.go
+++ b/entry/placement/update.go
@@ -136,10 +136,6 @@
 		// came with.
 		known.others = max(0, float64(report.Running+report.Waiting-1-known.inFlight))
 		known.othersAt = now
-		if f.occupied[known.Service] == nil {
-			f.occupied[known.Service] = &occupancy{}
-		}
-		f.occupied[known.Service].observe(float64(report.Running+report.Waiting-1)/float64(known.Slots), now)
 	}
 	if took > 0 && sign == SignAnswered {
 		f.learn(known, choice, took, now)
--- a/entry/presence/presence.go
+++ b/entry/presence/presence.go
@@ -1,135 +1,186 @@
 // Package presence tells entries of each other: each writes one row to the
-// platform's store, where others find its address, and then sends a datagram
-// in each interval that says it lives and serves.
+// platform's store, where others find its address, and then sends datagrams
+// that say that it lives, and what it knows of backend servers.
 package presence
 
 import (
 	"context"
-	"encoding/json"
 	"maps"
 	"net"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/phuslu/log"
+	"google.golang.org/protobuf/proto"
 
+	teaselv1 "github.com/teaselstack/teaselstack/api/teasel/v1"
 	"github.com/teaselstack/teaselstack/platform"
 )
 
 // Member is what an entry tells of itself.
 type Member struct {
-	Name   string `json:"name"`
-	Region string `json:"region"`
-	Domain string `json:"failure-domain"`
+	Name   string
+	Region string
+	Domain string
 	// Callers is the address for callers, Peers that for datagrams.
-	Callers string `json:"callers"`
-	Peers   string `json:"peers"`
+	Callers string
+	Peers   string
 	// Serving says that callers may be sent there.
-	Serving bool `json:"serving"`
+	Serving bool
 }
 
 // Roster holds the entries that this one knows of.
 type Roster struct {
 	// Self returns what this entry tells of itself.
-	Self   func() Member
+	Self func() Member
+	// Fill adds what this entry knows of backend servers to a message, Learn takes
+	// over what a peer told; either may be nil.
+	Fill  func(*teaselv1.Presence)
+	Learn func(*teaselv1.Presence)
+	// Store keeps the rows.
 	Store  *platform.Store
 	Logger *log.Logger
 
 	mu      sync.Mutex
 	members map[string]*member
-	send    func(to string, content []byte)
+	conn    net.PacketConn
 }
 
 type member struct {
 	Member
+	// version is that of the member's row, 0 if only datagrams came.
 	version uint64
 	// heard is when its last datagram came, zero if none did.
 	heard time.Time
-	found time.Time
 	up    bool
 }
 
 const (
 	// table holds one row for each entry.
 	table = "entries"
-	// interval is the time between two datagrams to each peer.
-	interval = time.Second
+	// minInterval and maxInterval bound the time between two datagrams to each
+	// peer; peerInterval is what each peer adds to it, so that an entry gets 125
+	// datagrams a second at most while the bounds allow.
+	minInterval  = 200 * time.Millisecond
+	peerInterval = 8 * time.Millisecond
+	maxInterval  = time.Second
 	// silence is how long an entry may be silent before callers are no longer
-	// sent there: three datagrams in a row lost or late, and less than the time
-	// that the platform gives the directory to forget a dead one.
+	// sent there: three datagrams in a row lost or late at the longest interval,
+	// and less than the time that the platform gives the directory to forget a
+	// dead one.
 	silence = 3500 * time.Millisecond
-	// forget is how long a silent entry is remembered; its row goes then.
-	forget = 60 * time.Second
-	// listInterval is the time between two readings of the rows, listFirst that
-	// while entries may still be starting.
-	listInterval = 10 * time.Second
-	listFirst    = 1500 * time.Millisecond
+	// listFirst and listMost bound the time between two readings of the rows; it
+	// doubles while nothing fails.
+	listFirst = 1500 * time.Millisecond
+	listMost  = 12 * time.Second
 	// callTimeout bounds a call to the store.
 	callTimeout = 1500 * time.Millisecond
-	// maxDatagram bounds a datagram, in bytes.
+	// maxDatagram bounds a datagram, in bytes: what goes through without being cut
+	// into pieces.
 	maxDatagram = 1400
 )
 
-// Run exchanges datagrams over conn until ctx is done.
+// Run exchanges datagrams over conn until ctx is done, and closes conn.
 func (r *Roster) Run(ctx context.Context, conn net.PacketConn) {
 	r.mu.Lock()
 	r.members = make(map[string]*member)
-	r.send = func(to string, content []byte) {
-		address, err := net.ResolveUDPAddr("udp4", to)
-		if err != nil {
-			r.Logger.Warn().Str("event", "peer-address-unreadable").Str("address", to).Err(err).Msg("")
-			return
-		}
-		// A datagram that can't be sent is like one that is lost.
-		_, _ = conn.WriteTo(content, address)
-	}
+	r.conn = conn
 	r.mu.Unlock()
 	var group sync.WaitGroup
 	group.Go(func() { r.receive(conn) })
 	group.Go(func() { r.list(ctx) })
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
 	for ctx.Err() == nil {
 		r.Tell()
-		select {
-		case <-ctx.Done():
-		case <-ticker.C:
-		}
+		sleep(ctx, r.interval())
+	}
+	if err := conn.Close(); err != nil {
+		r.Logger.Warn().Str("event", "peers-unclosed").Err(err).Msg("")
 	}
-	_ = conn.Close()
 	group.Wait()
 }
 
-// Tell sends what this entry says of itself to all peers at once.
+func (r *Roster) interval() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return min(maxInterval, max(minInterval, time.Duration(len(r.members))*peerInterval))
+}
+
+// sleep waits for a time or until ctx is done.
+func sleep(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// Tell sends what this entry knows to all peers at once.
 func (r *Roster) Tell() {
-	self := r.Self()
-	content, err := json.Marshal(self)
+	content, err := r.message()
 	if err != nil {
 		r.Logger.Error().Str("event", "presence-unsent").Err(err).Msg("")
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for name, each := range r.members {
-		if name != self.Name {
-			r.send(each.Peers, content)
-		}
-		r.judge(each)
+	now := time.Now()
+	for _, each := range r.members {
+		r.judge(each, now)
+		r.send(each, content)
+	}
+}
+
+// send sends a datagram. One that can't be sent is like one that is lost.
+func (r *Roster) send(to *member, content []byte) {
+	address, err := netip.ParseAddrPort(to.Peers)
+	if err != nil || r.conn == nil {
+		return
+	}
+	_, _ = r.conn.WriteTo(content, net.UDPAddrFromAddrPort(address))
+}
+
+// message returns the datagram for all peers. What does not fit is left out.
+func (r *Roster) message() ([]byte, error) {
+	self := r.Self()
+	told := &teaselv1.Presence{
+		Name:          self.Name,
+		Region:        self.Region,
+		FailureDomain: self.Domain,
+		Callers:       self.Callers,
+		Peers:         self.Peers,
+		Serving:       self.Serving,
+	}
+	if r.Fill != nil {
+		r.Fill(told)
+	}
+	content, err := proto.Marshal(told)
+	if len(content) > maxDatagram {
+		told.Suspects = nil
+		content, err = proto.Marshal(told)
+	}
+	for len(content) > maxDatagram && err == nil {
+		told.Servers = told.GetServers()[:len(told.GetServers())/2]
+		told.InFlight = told.GetInFlight()[:len(told.GetInFlight())/2]
+		told.Failing = told.GetFailing()[:len(told.GetFailing())/2]
+		content, err = proto.Marshal(told)
 	}
+	return content, err
 }
 
 // judge notes changes of belief about an entry. The caller holds the lock.
-func (r *Roster) judge(each *member) {
-	up := time.Since(each.heard) < silence
-	if up != each.up {
+func (r *Roster) judge(each *member, now time.Time) {
+	age := now.Sub(each.heard)
+	if up := age < silence; up != each.up {
 		each.up = up
 		event := "entry-lost"
 		if up {
 			event = "entry-heard"
 		}
-		r.Logger.Info().Str("event", event).Str("peer", each.Name).Bool("serving", each.Serving).Int64("age-ms", time.Since(each.heard).Milliseconds()).Msg("")
+		r.Logger.Info().Str("event", event).Str("peer", each.Name).Bool("serving", each.Serving).Int64("age-ms", age.Milliseconds()).Msg("")
 	}
 }
 
@@ -141,106 +192,47 @@
 			return
 		}
 		if err != nil {
+			r.Logger.Warn().Str("event", "datagram-lost").Err(err).Msg("")
 			continue
 		}
-		var told Member
-		if err := json.Unmarshal(buffer[:count], &told); err != nil || told.Name == "" {
+		var told teaselv1.Presence
+		if err := proto.Unmarshal(buffer[:count], &told); err != nil || told.GetName() == "" {
 			r.Logger.Warn().Str("event", "datagram-unreadable").Int("bytes", count).Msg("")
 			continue
 		}
-		r.hear(told, time.Now())
+		r.hear(&told)
 	}
 }
 
 // hear takes a datagram over.
-func (r *Roster) hear(told Member, now time.Time) {
-	if told.Name == r.Self().Name {
+func (r *Roster) hear(told *teaselv1.Presence) {
+	if told.GetName() == r.Self().Name {
 		return
 	}
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	known := r.members[told.Name]
+	known := r.members[told.GetName()]
 	if known == nil {
-		known = &member{
-			found: now,
-		}
-		r.members[told.Name] = known
-	}
-	known.Member = told
-	known.heard = now
-	r.judge(known)
-}
-
-// list writes this entry's row and reads those of others.
-func (r *Roster) list(ctx context.Context) {
-	written := false
-	pause := listFirst
-	for ctx.Err() == nil {
-		if !written {
-			written = r.write(ctx)
-		}
-		if r.read(ctx) && written {
-			pause = min(listInterval, 2*pause)
-		} else {
-			pause = listFirst
-		}
-		timer := time.NewTimer(pause)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-		case <-timer.C:
-		}
+		known = &member{}
+		r.members[told.GetName()] = known
 	}
-}
-
-func (r *Roster) write(ctx context.Context) bool {
-	self := r.Self()
-	content, err := json.Marshal(self)
-	if err != nil {
-		r.Logger.Error().Str("event", "presence-unsent").Err(err).Msg("")
-		return false
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	if err := r.Store.Put(ctx, table, self.Name, content); err != nil {
-		r.Logger.Warn().Str("event", "store-lost").Str("table", table).Err(err).Msg("")
-		return false
+	known.Member = memberOf(told)
+	known.heard = time.Now()
+	r.judge(known, known.heard)
+	r.mu.Unlock()
+	if r.Learn != nil {
+		r.Learn(told)
 	}
-	return true
 }
 
-// read takes the rows over and drops those of entries that are long gone.
-func (r *Roster) read(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	all, err := r.Store.Read(ctx, table)
-	if err != nil {
-		r.Logger.Warn().Str("event", "store-lost").Str("table", table).Err(err).Msg("")
-		return false
-	}
-	now := time.Now()
-	self := r.Self().Name
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, row := range all.Rows {
-		var told Member
-		if err := json.Unmarshal(row.Value, &told); err != nil || told.Name != row.Key {
-			r.Logger.Warn().Str("event", "member-unreadable").Str("row", row.Key).Msg("")
-			continue
-		}
-		known := r.members[told.Name]
-		if told.Name == self || known != nil && (known.version >= row.Version || known.up) {
-			continue
-		}
-		// A row tells where an entry is, not that it lives.
-		told.Serving = false
-		r.members[told.Name] = &member{
-			Member:  told,
-			version: row.Version,
-			found:   now,
-		}
+func memberOf(told *teaselv1.Presence) Member {
+	return Member{
+		Name:    told.GetName(),
+		Region:  told.GetRegion(),
+		Domain:  told.GetFailureDomain(),
+		Callers: told.GetCallers(),
+		Peers:   told.GetPeers(),
+		Serving: told.GetServing(),
 	}
-	return true
 }
 
 // Place returns this entry's place among all entries in the order of their
