--- a/entry/placement/placement.go
+++ b/entry/placement/placement.go
@@ -243,6 +243,7 @@
 	type scored struct {
 		server *server
 		score  float64
+		bad    bool
 	}
 	order := make([]scored, 0, len(all))
 	failing := 0
@@ -253,18 +254,20 @@
 		if request.Route != nil && !request.Route.AllowsRegion(each.Region) {
 			continue
 		}
-		if each.health.failing(now) {
+		bad := f.failing(each, now)
+		if bad {
 			failing++
 		}
 		order = append(order, scored{
 			server: each,
 			score:  f.score(request, each),
+			bad:    bad,
 		})
 	}
 	// Where most seem to fail, the fault is more likely on the way than in all
 	// of them.
 	if float64(failing) <= panicShare*float64(len(order)) && failing < len(order) {
-		order = slices.DeleteFunc(order, func(each scored) bool { return each.server.health.failing(now) })
+		order = slices.DeleteFunc(order, func(each scored) bool { return each.bad })
 	}
 	slices.SortFunc(order, func(a, b scored) int {
 		if a.server.doubtful != b.server.doubtful {
@@ -285,6 +288,16 @@
 	return ranked
 }
 
+// failing reports whether a server is left out: it failed this entry, or several
+// peers. One peer's word is not enough: the fault may be on its own way.
+func (f *Fleet) failing(each *server, now time.Time) bool {
+	if each.health.failing(now) {
+		return true
+	}
+	_, failed := f.hearsay(each, now)
+	return failed >= failedPeers
+}
+
 // score is the weighted rendezvous score of a server for an object.
 func (f *Fleet) score(request *Request, each *server) float64 {
 	weight := float64(each.Slots)
@@ -331,6 +344,8 @@
 	// patience is how many times the expected time a server may be silent before
 	// others are preferred.
 	patience = 2
+	// failedPeers is how many peers a server must have failed to be left out here.
+	failedPeers = 2
 	// othersHalfLife is how long it takes until what a server reported counts half:
 	// about as long as a peer's word takes.
 	othersHalfLife = 150 * time.Millisecond
