--- a/entry/gate.go
+++ b/entry/gate.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"net/netip"
 	"os"
 	"strconv"
 	"sync"
@@ -12,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sys/unix"
@@ -32,6 +32,8 @@
 	settings atomic.Pointer[platform.Settings]
 	logger   *log.Logger
 	metrics  metrics.Registry
+	// dropped returns how many log lines were dropped.
+	dropped  func() int64
 	fleet    *placement.Fleet
 	pool     *upstream.Pool
 	registry *registry.Registry
@@ -65,14 +67,14 @@
 	uploadHomeWeight = 3
 )
 
-func newGate(settings platform.Settings, logger *log.Logger) *gate {
+func newGate(settings platform.Settings, logger *log.Logger, dropped func() int64) *gate {
 	g := &gate{
 		logger:  logger,
+		dropped: dropped,
 		metrics: metrics.NewRegistry(),
 	}
 	g.settings.Store(&settings)
 	g.suspects.Limit = breakLimit
-	bounds := settings.Bounds
 	g.roster = &presence.Roster{
 		Self:   g.self,
 		Store:  g.newStore(),
@@ -80,25 +82,31 @@
 	}
 	g.fleet = placement.New(settings.Region, g.place,
 		placement.WithHomeWeight(homeWeight, uploadHomeWeight),
-		placement.WithColdBound(bounds.ColdFactor, bounds.ColdSlack))
+		placement.WithColdBound(func() (factor, slack float64) {
+			bounds := g.settings.Load().Bounds
+			return bounds.ColdFactor, bounds.ColdSlack
+		}))
 	g.fleet.Changed = g.serverChanged
 	g.roster.Fill = g.tell
 	g.roster.Learn = g.learn
 	g.pool = &upstream.Pool{
-		Names: platform.Headers,
-		Dial:  newDialer(connectTimeout).dial,
+		Names:   platform.Headers,
+		MaxIdle: g.maxIdle,
+		Dial:    newDialer(connectTimeout).dial,
 	}
 	g.registry = &registry.Registry{
 		Operators:  g.newStore(),
 		Servers:    g.newStore(),
 		Regions:    settings.Domains,
-		Interval:   min(registrationInterval, bounds.Drain/2),
+		Interval:   min(registrationInterval, settings.Bounds.Drain/2),
 		Configured: g.fleet.Configure,
 		Evacuate:   g.fleet.Evacuate,
 		Update:     g.fleet.Update,
 		Remove:     g.fleet.Remove,
 		Doubt:      g.fleet.Doubt,
 		Logger:     logger,
+
+		Introducers: g.introducers,
 	}
 	g.gateway = &gateway.Gateway{
 		Names:         platform.Headers,
@@ -106,9 +114,10 @@
 		Fleet:         g.fleet,
 		Pool:          g.pool,
 		Budget: &gateway.Budget{
-			Ratio:   bounds.RetryRatio,
-			Window:  bounds.RetryWindow,
-			Slack:   bounds.RetrySlack,
+			Bounds: func() (ratio, slack float64, window time.Duration) {
+				bounds := g.settings.Load().Bounds
+				return bounds.RetryRatio, bounds.RetrySlack, bounds.RetryWindow
+			},
 			Entries: g.entries,
 		},
 		Quarantine: &g.suspects,
@@ -116,6 +125,7 @@
 		Logger:     logger,
 		Metrics:    g.metrics,
 	}
+	g.registerGauges()
 	return g
 }
 
@@ -199,6 +209,16 @@
 	return index, max(count, len(g.settings.Load().Domains)+1)
 }
 
+// maxIdle is how many idle connections this entry keeps to a server of a
+// service: its share of half of what the server accepts.
+func (g *gate) maxIdle(service string) int {
+	conf := g.registry.Configuration()
+	if conf == nil || conf.Services[service] == nil {
+		return 1
+	}
+	return max(1, conf.Services[service].MaxConnections/(2*g.entries()))
+}
+
 func (g *gate) entries() int {
 	_, count := g.place()
 	return count
@@ -216,24 +236,50 @@
 	}
 }
 
-// listeners are the open sockets of a gate.
+// gateListeners are the open sockets of a gate; introductions is nil where the
+// settings give no address for them.
 type gateListeners struct {
-	callers net.Listener
-	ready   net.Listener
-	lookups net.Listener
-	peers   net.PacketConn
+	callers       net.Listener
+	ready         net.Listener
+	lookups       net.Listener
+	introductions net.Listener
+	metrics       net.Listener
+	peers         net.PacketConn
 }
 
 func (g *gate) listen() (opened gateListeners, err error) {
 	settings := g.settings.Load()
-	if opened.callers, err = net.Listen("tcp4", settings.CallersAddress); err != nil {
-		return opened, err
-	}
-	if opened.ready, err = net.Listen("tcp4", settings.ReadyAddress); err != nil {
-		return opened, err
-	}
-	if opened.lookups, err = net.Listen("tcp4", settings.LookupAddress); err != nil {
-		return opened, err
+	for _, each := range []struct {
+		listener *net.Listener
+		address  string
+	}{
+		{
+			listener: &opened.callers,
+			address:  settings.CallersAddress,
+		},
+		{
+			listener: &opened.ready,
+			address:  settings.ReadyAddress,
+		},
+		{
+			listener: &opened.lookups,
+			address:  settings.LookupAddress,
+		},
+		{
+			listener: &opened.introductions,
+			address:  settings.IntroductionAddress,
+		},
+		{
+			listener: &opened.metrics,
+			address:  net.JoinHostPort(settings.IP, metricsPort),
+		},
+	} {
+		if each.address == "" {
+			continue
+		}
+		if *each.listener, err = net.Listen("tcp4", each.address); err != nil {
+			return opened, err
+		}
 	}
 	opened.peers, err = net.ListenPacket("udp4", g.self().Peers)
 	return opened, err
@@ -261,28 +307,42 @@
 	group.Go(func() { g.roster.Run(background, opened.peers) })
 	group.Go(func() { g.sweep(background) })
 	group.Go(func() { g.watchSettings(background, hangups) })
-	callers := &http.Server{
-		Handler:     g.gateway,
-		IdleTimeout: callerIdle,
-	}
-	ready := &http.Server{
-		Handler: http.HandlerFunc(g.serveReady),
+	idle := &gateway.Idle{
+		Configuration: g.registry.Configuration,
 	}
-	lookups := &http.Server{
-		Handler: http.HandlerFunc(g.serveLookup),
+	callers := &http.Server{
+		Handler:           g.gateway,
+		ConnState:         idle.Changed,
+		ReadHeaderTimeout: headTimeout,
+		IdleTimeout:       maxIdle,
 	}
-	failures := make(chan error, 3)
-	for server, listener := range map[*http.Server]net.Listener{
-		callers: opened.callers,
-		ready:   opened.ready,
-		lookups: opened.lookups,
-	} {
+	servers := []*http.Server{callers}
+	failures := make(chan error, maxListeners)
+	run := func(server *http.Server, listener net.Listener) {
+		if listener == nil {
+			return
+		}
 		group.Go(func() {
-			if err := server.Serve(listener); err != http.ErrServerClosed {
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 				failures <- err
 			}
 		})
 	}
+	run(callers, opened.callers)
+	for handler, listener := range map[*http.HandlerFunc]net.Listener{
+		new(http.HandlerFunc(g.serveReady)):        opened.ready,
+		new(http.HandlerFunc(g.serveLookup)):       opened.lookups,
+		new(http.HandlerFunc(g.serveIntroduction)): opened.introductions,
+		new(http.HandlerFunc(g.serveMetrics)):      opened.metrics,
+	} {
+		server := &http.Server{
+			Handler:           handler,
+			ReadHeaderTimeout: headTimeout,
+			IdleTimeout:       maxIdle,
+		}
+		servers = append(servers, server)
+		run(server, listener)
+	}
 	settings := g.settings.Load()
 	g.logger.Info().Str("event", "started").Str("callers", settings.CallersAddress).Str("region", settings.Region).Msg("")
 	var failure error
@@ -298,19 +358,24 @@
 	time.Sleep(min(lameDuck, grace/2))
 	deadline, cancel := context.WithDeadline(context.Background(), began.Add(grace-exitMargin))
 	defer cancel()
-	for _, server := range []*http.Server{callers, ready, lookups} {
+	for _, server := range servers {
 		if err := server.Shutdown(deadline); err != nil {
 			g.logger.Warn().Str("event", "stopped-early").Int64("in-flight", g.gateway.InFlight()).Err(err).Msg("")
-			break
 		}
 	}
 	stop()
 	return failure
 }
 
-// callerIdle is how long a caller's connection may be idle: more than any
-// limit that operators set, since callers stay within that.
-const callerIdle = 60 * time.Second
+const (
+	// maxListeners is how many listeners a gate has at most.
+	maxListeners = 5
+	// headTimeout bounds the time for a request's head whatever the configuration
+	// says, which callers keep within.
+	headTimeout = 30 * time.Second
+	// maxIdle bounds idle connections whatever the configuration says.
+	maxIdle = 10 * time.Minute
+)
 
 func (g *gate) serveReady(w http.ResponseWriter, incoming *http.Request) {
 	if incoming.URL.Path != platform.ReadyPath {
@@ -372,9 +437,3 @@
 	g.suspects.Limit = breakLimit
 	g.logger.Info().Str("event", "reloaded").Str("cause", cause).Msg("")
 }
-
-// validAddress reports whether a text is an IP address with a port.
-func validAddress(text string) bool {
-	_, err := netip.ParseAddrPort(text)
-	return err == nil
-}
--- a/entry/gateway/body.go
+++ b/entry/gateway/body.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/teaselstack/teaselstack/entry/quarantine"
 	"github.com/teaselstack/teaselstack/outcome"
 )
@@ -60,6 +62,9 @@
 		req.setDigest()
 		return nil
 	}
+	if req.bodyLimit > 0 {
+		incoming.Body = http.MaxBytesReader(nil, incoming.Body, req.bodyLimit)
+	}
 	limit := int64(wholeBody)
 	if g.buffered.Load() > maxBuffered {
 		limit = digestBytes
@@ -73,10 +78,7 @@
 	g.buffered.Add(int64(len(req.body.start)))
 	if err != nil {
 		g.releaseBody(req)
-		return &refusal{
-			status: http.StatusBadRequest,
-			reason: outcome.ReasonBodyBroken,
-		}
+		return bodyRefusal(err)
 	}
 	if int64(len(req.body.start)) < limit {
 		req.body.length = int64(len(req.body.start))
@@ -93,6 +95,19 @@
 	return nil
 }
 
+// bodyRefusal is the answer to a request whose body could not be read.
+func bodyRefusal(err error) *refusal {
+	status := http.StatusBadRequest
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		status = http.StatusRequestEntityTooLarge
+	}
+	return &refusal{
+		status: status,
+		reason: outcome.ReasonBodyBroken,
+	}
+}
+
 func (g *Gateway) releaseBody(req *request) {
 	g.buffered.Add(-int64(len(req.body.start)))
 }
--- a/entry/gateway/budget.go
+++ b/entry/gateway/budget.go
@@ -9,9 +9,8 @@
 // holds over all entries, so each takes a share: repeats in proportion to its
 // own requests, and an equal part of the slack.
 type Budget struct {
-	Ratio  float64
-	Window time.Duration
-	Slack  float64
+	// Bounds returns the ratio, the slack and the window of the bound.
+	Bounds func() (ratio, slack float64, window time.Duration)
 	// Entries returns how many entries share the slack.
 	Entries func() int
 
@@ -48,7 +47,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	used := b.usage(service)
-	allowed := budgetShare * (b.Ratio*float64(len(used.requests)) + b.Slack/float64(max(1, b.Entries())))
+	ratio, slack, _ := b.Bounds()
+	allowed := budgetShare * (ratio*float64(len(used.requests)) + slack/float64(max(1, b.Entries())))
 	if !returning {
 		allowed *= firstShare
 	}
@@ -70,7 +70,8 @@
 		used = &usage{}
 		b.services[service] = used
 	}
-	since := time.Now().Add(-b.Window)
+	_, _, window := b.Bounds()
+	since := time.Now().Add(-window)
 	used.requests = after(used.requests, since)
 	used.repeats = after(used.repeats, since)
 	return used
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"sync"
@@ -62,8 +63,10 @@
 	deadline time.Time
 	limit    time.Time
 	body     *body
-	tried    []string
-	sends    int
+	// bodyLimit is the longest body allowed; 0 sets no bound.
+	bodyLimit int64
+	tried     []string
+	sends     int
 }
 
 // InFlight returns how many requests are being served.
@@ -108,11 +111,15 @@
 		return req, notRun(outcome.ReasonNoConfiguration, startWait)
 	}
 	req.version = conf.Version
+	if refusal := checkLimits(incoming, conf.Limits); refusal != nil {
+		return req, refusal
+	}
+	req.bodyLimit = conf.Limits.BodyBytes
 	req.route = conf.Match(incoming.Host, incoming.URL.Path)
 	if req.route == nil {
 		return req, &refusal{
 			status: http.StatusNotFound,
-			reason: outcome.ReasonUnknownService,
+			reason: outcome.ReasonNoRoute,
 		}
 	}
 	if limit := req.arrived.Add(req.route.Timeout); req.route.Timeout > 0 && limit.Before(req.limit) {
@@ -157,13 +164,14 @@
 func (g *Gateway) outgoing(req *request, server *routing.Server) *http.Request {
 	out := &http.Request{
 		Method:        req.incoming.Method,
-		URL:           req.incoming.URL,
+		URL:           target(req.incoming),
 		Host:          req.incoming.Host,
 		Header:        req.incoming.Header.Clone(),
 		ContentLength: req.body.length,
 		Body:          req.body.open(),
 	}
 	header.StripHopByHop(out.Header)
+	out.Header.Del("Expect")
 	if out.Header.Get("User-Agent") == "" {
 		// An empty value keeps net/http from adding its own.
 		out.Header["User-Agent"] = []string{""}
@@ -174,6 +182,16 @@
 	return out
 }
 
+// target returns the request's path and query as the caller sent them.
+func target(incoming *http.Request) *url.URL {
+	if strings.HasPrefix(incoming.RequestURI, "/") && !strings.HasPrefix(incoming.RequestURI, "//") {
+		return &url.URL{
+			Opaque: incoming.RequestURI,
+		}
+	}
+	return incoming.URL
+}
+
 // parseReport reads a server's load header.
 func parseReport(text string) *placement.Report {
 	running, rest, found := strings.Cut(text, ",")
--- a/entry/main.go
+++ b/entry/main.go
@@ -115,7 +115,7 @@
 	defer stop()
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
-	running := newGate(loaded, logger)
+	running := newGate(loaded, logger, lines.Dropped)
 	opened, err := running.listen()
 	if err != nil {
 		logger.Error().Str("event", "listen-failed").Err(err).Msg("")
--- a/entry/placement/placement.go
+++ b/entry/placement/placement.go
@@ -54,8 +54,7 @@
 type options struct {
 	homeWeight   float64
 	uploadWeight float64
-	coldFactor   float64
-	coldSlack    float64
+	coldBound    func() (factor, slack float64)
 }
 
 // Option changes how a fleet places requests.
@@ -72,10 +71,8 @@
 
 // WithColdBound sets the bound of requests a second to a cold server over all
 // entries: its own rate times a factor, plus a slack.
-func WithColdBound(factor, slack float64) Option {
-	return func(o *options) {
-		o.coldFactor, o.coldSlack = factor, slack
-	}
+func WithColdBound(bound func() (factor, slack float64)) Option {
+	return func(o *options) { o.coldBound = bound }
 }
 
 // New returns a fleet without servers.
@@ -86,7 +83,7 @@
 		options: options{
 			homeWeight:   1,
 			uploadWeight: 1,
-			coldFactor:   1,
+			coldBound:    func() (factor, slack float64) { return 1, 0 },
 		},
 		servers:   make(map[string]*server),
 		services:  make(map[string][]*server),
@@ -405,9 +402,9 @@
 // so turns begin at half of the bounded rate. Clocks that differ shift turns
 // but do not add any.
 func (f *Fleet) coldTurn(each *server, now time.Time) (turn int64, open bool) {
-	bound := f.options.coldSlack
+	factor, bound := f.options.coldBound()
 	if service := f.settings[each.Service]; service != nil {
-		bound += service.ColdRate * f.options.coldFactor
+		bound += service.ColdRate * factor
 	}
 	index, count := f.Entries()
 	cycle := time.Duration(float64(count) / max(bound/2, minColdRate) * float64(time.Second))
--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -31,8 +31,11 @@
 	Update     func([]routing.Server)
 	Remove     func(ids []string)
 	// Doubt says that servers may be gone.
-	Doubt  func(ids []string)
-	Logger *log.Logger
+	Doubt func(ids []string)
+	// Introducers returns calls to other entries, for the time when the store does
+	// not answer one that starts.
+	Introducers func() []func(context.Context) (Snapshot, error)
+	Logger      *log.Logger
 
 	configuration atomic.Pointer[routing.Configuration]
 	serversKnown  atomic.Bool
@@ -42,6 +45,11 @@
 	// versions holds the newest row version by server, so that an older reading
 	// never replaces a newer one.
 	versions map[string]uint64
+	// operatorRows and serverRows hold the rows as they were read.
+	operatorRows map[string]platform.Record
+	serverRows   map[string]platform.Record
+	// answered is when the store last answered, by table.
+	answered map[string]time.Time
 	// lapsed holds when servers were found missing after an outage.
 	lapsed map[string]time.Time
 	// regained is when the store answered again after an outage.
@@ -77,6 +85,7 @@
 	var group sync.WaitGroup
 	group.Go(func() { r.follow(ctx, r.operatorFeed()) })
 	group.Go(func() { r.follow(ctx, r.serverFeed()) })
+	group.Go(func() { r.introduce(ctx) })
 	group.Wait()
 }
 
@@ -134,6 +143,7 @@
 			lost = false
 			r.Logger.Info().Str("event", "store-regained").Str("table", each.table).Uint64("version", version).Msg("")
 		}
+		r.note(each.table)
 		pause = 0
 		sleep(ctx, each.pause)
 	}
@@ -190,6 +200,33 @@
 	r.regained = time.Now()
 }
 
+// note records that the store answered.
+func (r *Registry) note(table string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.answered == nil {
+		r.answered = make(map[string]time.Time)
+	}
+	r.answered[table] = time.Now()
+}
+
+// Tables returns the names of the tables that are followed.
+func (r *Registry) Tables() []string {
+	return []string{platform.OperatorTable, platform.ServerTable}
+}
+
+// Age returns how long ago the store last answered a call for a table; 0 if it
+// never did.
+func (r *Registry) Age(table string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at, found := r.answered[table]
+	if !found {
+		return 0
+	}
+	return time.Since(at)
+}
+
 // sleep waits for a time or until ctx is done.
 func sleep(ctx context.Context, length time.Duration) {
 	if length <= 0 {
--- a/entry/registry/tables.go
+++ b/entry/registry/tables.go
@@ -13,6 +13,7 @@
 func (r *Registry) replaceOperators(rows []platform.Record) {
 	r.mu.Lock()
 	r.evacuated = nil
+	r.operatorRows = nil
 	r.mu.Unlock()
 	r.changeOperators(rows)
 	if len(rows) == 0 {
@@ -31,7 +32,14 @@
 	if next == nil {
 		next = make(map[string]bool)
 	}
+	if r.operatorRows == nil {
+		r.operatorRows = make(map[string]platform.Record)
+	}
 	for _, row := range rows {
+		r.operatorRows[row.Key] = row
+		if row.Removed {
+			delete(r.operatorRows, row.Key)
+		}
 		if domain, is := platform.Evacuated(row.Key); is {
 			if row.Removed {
 				delete(next, domain)
@@ -95,6 +103,7 @@
 	if r.versions == nil {
 		r.versions = make(map[string]uint64)
 		r.lapsed = make(map[string]time.Time)
+		r.serverRows = make(map[string]platform.Record)
 	}
 	now := time.Now()
 	unsure := now.Sub(r.regained) < lapseGrace
@@ -104,6 +113,7 @@
 		}
 		if row.Removed {
 			delete(r.versions, row.Key)
+			delete(r.serverRows, row.Key)
 			delete(news, row.Key)
 			if unsure {
 				r.lapsed[row.Key] = now
@@ -113,6 +123,7 @@
 			continue
 		}
 		r.versions[row.Key] = row.Version
+		r.serverRows[row.Key] = row
 		server, err := platform.DecodeServer(row.Key, row.Value, r.Regions)
 		if err != nil {
 			r.Logger.Warn().Str("event", "registration-unreadable").Str("server", row.Key).Err(err).Msg("")
--- a/entry/upstream/upstream.go
+++ b/entry/upstream/upstream.go
@@ -26,6 +26,8 @@
 	Names header.Names
 	// Dial connects to an address.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// MaxIdle returns how many idle connections are kept to a server of a service.
+	MaxIdle func(service string) int
 
 	mu   sync.Mutex
 	idle map[routing.Incarnation][]*conn
@@ -102,7 +104,7 @@
 		// An expired deadline ends reads and writes at once; Close follows.
 		_ = link.SetDeadline(time.Unix(1, 0))
 	})
-	answer, failure := p.exchange(link, server.Incarnation(), request, id)
+	answer, failure := p.exchange(link, server, request, id)
 	if failure != nil {
 		stop()
 		link.shut()
@@ -126,7 +128,7 @@
 // shut closes a connection that is of no more use; its error changes nothing.
 func (c *conn) shut() { _ = c.Close() }
 
-func (p *Pool) exchange(link *conn, owner routing.Incarnation, request *http.Request, id string) (*Answer, *Failure) {
+func (p *Pool) exchange(link *conn, server *routing.Server, request *http.Request, id string) (*Answer, *Failure) {
 	var sending sync.WaitGroup
 	var sendErr error
 	sent := make(chan struct{})
@@ -174,7 +176,7 @@
 			sending.Wait()
 			return
 		}
-		p.keep(owner, link, response.Header)
+		p.keep(server, link, response.Header)
 	}
 	return answer, nil
 }
@@ -273,7 +275,7 @@
 	return link
 }
 
-func (p *Pool) keep(owner routing.Incarnation, link *conn, answer http.Header) {
+func (p *Pool) keep(server *routing.Server, link *conn, answer http.Header) {
 	lifetime := defaultIdle
 	for part := range strings.SplitSeq(answer.Get("Keep-Alive"), ",") {
 		if text, is := strings.CutPrefix(strings.TrimSpace(part), "timeout="); is {
@@ -292,6 +294,11 @@
 	if p.idle == nil {
 		p.idle = make(map[routing.Incarnation][]*conn)
 	}
+	owner := server.Incarnation()
+	if len(p.idle[owner]) >= p.MaxIdle(server.Service) {
+		link.shut()
+		return
+	}
 	p.idle[owner] = append(p.idle[owner], link)
 }
 
--- a/logline/buffer.go
+++ b/logline/buffer.go
@@ -18,7 +18,9 @@
 	mu     sync.Mutex
 	// pending holds the lines to be written next.
 	pending bytes.Buffer
+	// dropped counts the lines dropped since the last write, total all of them.
 	dropped int
+	total   int64
 	closed  bool
 	wake    chan struct{}
 	group   sync.WaitGroup
@@ -56,6 +58,7 @@
 	}
 	if b.closed || b.pending.Len()+len(line) > limit {
 		b.dropped++
+		b.total++
 		return len(line), nil
 	}
 	first := b.pending.Len() == 0
@@ -94,6 +97,13 @@
 	return closed
 }
 
+// Dropped returns how many lines were dropped.
+func (b *Buffer) Dropped() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.total
+}
+
 // Close writes what is pending, for a bounded time.
 func (b *Buffer) Close() {
 	b.mu.Lock()
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -73,6 +73,7 @@
 	ReasonDeadline        Reason = "deadline"
 	ReasonCanceled        Reason = "canceled"
 	ReasonShed            Reason = "shed"
+	ReasonNoRoute         Reason = "no-route"
 	ReasonReplaced        Reason = "server-replaced"
 	ReasonConnect         Reason = "connect"
 	ReasonBroken          Reason = "connection-broken"
