Traces take the same course in every run and give each policy the same requests

Cause: tasks that woke at one instant ran in the scheduler's order and drew from one generator, so that counts, arrivals and work differed between policies and runs, and the verdict with them. Each task has its own instants now; requests and their work are drawn apart from the policies. The check and its 2% are as they were.

--- a/entry/steering/replay_test.go
+++ b/entry/steering/replay_test.go
@@ -53,8 +53,15 @@
 	ctx      context.Context
 	start    time.Time
 
-	mu            sync.Mutex
-	random        *rand.Rand
+	// spawned counts the tasks started.
+	actors  sync.Mutex
+	spawned int64
+
+	mu     sync.Mutex
+	random *rand.Rand
+	// arrivals draws the requests and their work, apart from what the policies
+	// draw: each policy gets the same ones.
+	arrivals      *rand.Rand
 	configuration *intent.Configuration
 	cut           map[string]bool
 	stale         bool
@@ -102,6 +109,7 @@
 		ctx:      ctx,
 		start:    time.Now(),
 		random:   rand.New(rand.NewPCG(7, 7)),
+		arrivals: rand.New(rand.NewPCG(7, 8)),
 		backends: make(map[string]*backend),
 		cut:      make(map[string]bool),
 		unserved: make(map[string][]time.Time),
@@ -109,16 +117,17 @@
 	r.configuration = r.compile(t, 1)
 	r.boot()
 	for _, each := range r.sites {
-		r.group.Go(func() { r.heartbeats(each) })
+		r.spawn(func(a *actor) { r.heartbeats(a, each) })
 	}
-	r.group.Go(r.measure)
-	sleep(warmUp)
+	r.spawn(r.measure)
+	main := &actor{}
+	main.sleep(warmUp)
 	r.start = time.Now()
 	for _, event := range tr.Events {
-		r.group.Go(func() { r.happen(t, event) })
+		r.spawn(func(a *actor) { r.happen(t, a, event) })
 	}
-	r.arrive()
-	sleep(tr.Deadline())
+	r.arrive(main)
+	main.sleep(tr.Deadline())
 	cancel()
 	r.group.Wait()
 	r.summarize()
@@ -235,12 +244,12 @@
 }
 
 // heartbeats exchanges an entry's news; loads arrive as late as the trace says.
-func (r *replay) heartbeats(from *site) {
+func (r *replay) heartbeats(a *actor, from *site) {
 	for r.ctx.Err() == nil {
 		from.ledger.Tick()
 		for _, to := range r.sites {
 			if from != to && !from.isDead() && !to.isDead() && r.connected(from.domain, to.domain) {
-				r.group.Go(func() { r.beat(from, to) })
+				r.spawn(func(a *actor) { r.beat(a, from, to) })
 			}
 		}
 		for _, domain := range from.ledger.Silent() {
@@ -248,11 +257,11 @@
 				from.ledger.Reach(domain)
 			}
 		}
-		sleep(500 * time.Millisecond)
+		a.sleep(500 * time.Millisecond)
 	}
 }
 
-func (r *replay) beat(from, to *site) {
+func (r *replay) beat(a *actor, from, to *site) {
 	version := r.current().Version
 	request := &teaselv1.HeartbeatRequest{
 		Sender: from.member(version),
@@ -260,7 +269,7 @@
 	sent := time.Now()
 	leases, loads := from.ledger.Part(), from.view.Part()
 	leases.Ask(to.member(version), request)
-	sleep(r.delay(from, to))
+	a.sleep(r.delay(from, to))
 	if to.isDead() || !r.connected(from.domain, to.domain) {
 		return
 	}
@@ -273,7 +282,7 @@
 		Receiver: to.member(version),
 	}
 	to.view.Part().Answer(&teaselv1.HeartbeatRequest{}, news)
-	sleep(r.delay(from, to))
+	a.sleep(r.delay(from, to))
 	if from.isDead() || !r.connected(from.domain, to.domain) {
 		return
 	}
@@ -286,7 +295,7 @@
 	for _, load := range news.Loads {
 		load.AgeMs = uint32(lag.Milliseconds())
 	}
-	sleep(lag)
+	a.sleep(lag)
 	loads.Learn(sent, news)
 }
 
@@ -298,7 +307,7 @@
 
 // measure samples the servers' loads: for the baselines' reports, late, and for
 // the headroom.
-func (r *replay) measure() {
+func (r *replay) measure(a *actor) {
 	for r.ctx.Err() == nil {
 		r.mu.Lock()
 		used, slots := make(map[string]int), make(map[string]int)
@@ -320,8 +329,8 @@
 		stale := r.stale
 		r.mu.Unlock()
 		if !stale {
-			r.group.Go(func() {
-				sleep(time.Duration(r.trace.Lag))
+			r.spawn(func(a *actor) {
+				a.sleep(time.Duration(r.trace.Lag))
 				r.mu.Lock()
 				defer r.mu.Unlock()
 				for name, count := range reports {
@@ -329,13 +338,13 @@
 				}
 			})
 		}
-		sleep(250 * time.Millisecond)
+		a.sleep(250 * time.Millisecond)
 	}
 }
 
 // happen plays one event of the trace.
-func (r *replay) happen(t *testing.T, event event) {
-	sleep(time.Duration(event.At))
+func (r *replay) happen(t *testing.T, a *actor, event event) {
+	a.sleep(time.Duration(event.At))
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch event.Kind {
@@ -370,7 +379,7 @@
 }
 
 // arrive starts the requests of all phases, evenly with a jitter.
-func (r *replay) arrive() {
+func (r *replay) arrive(a *actor) {
 	for _, phase := range r.trace.Phases {
 		end := time.Now().Add(time.Duration(phase.Length))
 		for time.Now().Before(end) {
@@ -378,7 +387,7 @@
 			for _, region := range r.trace.Regions {
 				total += phase.Rates[region]
 			}
-			pick := r.draw() * total
+			pick := r.arrivals.Float64() * total
 			region := r.trace.Regions[0]
 			for _, each := range r.trace.Regions {
 				if region = each; pick < phase.Rates[each] {
@@ -386,8 +395,13 @@
 				}
 				pick -= phase.Rates[each]
 			}
-			r.group.Go(func() { r.request(region) })
-			sleep(time.Duration((0.5 + r.draw()) / total * float64(time.Second)))
+			hold := time.Duration((0.5 + r.arrivals.Float64()) * float64(r.trace.Hold))
+			pause := time.Duration((0.5 + r.arrivals.Float64()) / total * float64(time.Second))
+			r.spawn(func(each *actor) {
+				each.hold = hold
+				r.request(each, region)
+			})
+			a.sleep(pause)
 		}
 	}
 }
--- a/entry/steering/request_test.go
+++ b/entry/steering/request_test.go
@@ -13,20 +13,20 @@
 
 // request is one caller's: it asks an entry of its region, or of another when
 // all there are lost to it.
-func (r *replay) request(region string) {
+func (r *replay) request(a *actor, region string) {
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), r.trace.Deadline())
 	defer cancel()
 	at := r.entryFor(region)
 	done := false
 	if at != nil {
-		sleep(time.Duration(r.trace.ClientDelay))
+		a.sleep(time.Duration(r.trace.ClientDelay))
 		if r.policy == "ours" {
-			done = r.steer(ctx, at)
+			done = r.steer(ctx, a, at)
 		} else {
-			done = r.baseline(ctx, at)
+			done = r.baseline(ctx, a, at)
 		}
-		sleep(time.Duration(r.trace.ClientDelay))
+		a.sleep(time.Duration(r.trace.ClientDelay))
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -70,7 +70,7 @@
 }
 
 // steer does what dispatch does: it tries the places in their order.
-func (r *replay) steer(ctx context.Context, at *site) bool {
+func (r *replay) steer(ctx context.Context, a *actor, at *site) bool {
 	service := r.current().Service(serviceName)
 	var places []string
 	for _, ranked := range at.view.Places(service, at.region) {
@@ -83,11 +83,11 @@
 		done := func() {}
 		if home != at {
 			done = at.view.Track(home.name, service.Name)
-			sleep(r.delay(at, home))
+			a.sleep(r.delay(at, home))
 		}
-		served := r.serve(ctx, at, home, attempt < len(places))
+		served := r.serve(ctx, a, at, home, attempt < len(places))
 		if home != at {
-			sleep(r.delay(at, home))
+			a.sleep(r.delay(at, home))
 		}
 		done()
 		if served {
@@ -97,7 +97,7 @@
 	return false
 }
 
-func (r *replay) serve(ctx context.Context, at, home *site, immediate bool) bool {
+func (r *replay) serve(ctx context.Context, a *actor, at, home *site, immediate bool) bool {
 	if home.isDead() || !r.connected(at.domain, home.domain) {
 		return false
 	}
@@ -112,11 +112,13 @@
 		return false
 	}
 	defer grant.Release()
-	return r.work(grant.Server.Name)
+	// A grant may come from another task at its instant.
+	a.sleep(0)
+	return r.work(a, grant.Server.Name)
 }
 
 // work runs a request on a backend server; false when it had no slot left.
-func (r *replay) work(name string) bool {
+func (r *replay) work(a *actor, name string) bool {
 	r.mu.Lock()
 	each := r.backends[name]
 	if each.inFlight >= each.server.Slots {
@@ -127,9 +129,8 @@
 	}
 	each.inFlight++
 	each.last = time.Now()
-	hold := time.Duration((0.5 + r.random.Float64()) * float64(r.trace.Hold))
 	r.mu.Unlock()
-	sleep(hold)
+	a.sleep(a.hold)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	each.inFlight--
--- a/entry/steering/trace_test.go
+++ b/entry/steering/trace_test.go
@@ -80,11 +80,6 @@
 	return res
 }
 
-// sleep lets the paused clock go on: all of a replay runs in play's bubble.
-func sleep(length time.Duration) {
-	time.Sleep(length)
-}
-
 // TestTraces replays every trace under ours and the baselines in one run. Ours
 // never sends a request over a backend server's slots and does as many requests
 // as the trace states; in what the deployment weighs most it is at least as good
@@ -112,13 +107,12 @@
 	}
 }
 
-// tolerance is what counts as equal: two runs differ in the order of requests at
-// the same instant.
+// tolerance is what counts as equal.
 const tolerance = 0.02
 
 // baseline sends a request straight to a backend server that a rule picks, and
 // again to another when it sheds.
-func (r *replay) baseline(ctx context.Context, at *site) bool {
+func (r *replay) baseline(ctx context.Context, a *actor, at *site) bool {
 	tried := make(map[string]bool)
 	for range 4 {
 		if ctx.Err() != nil {
@@ -133,9 +127,9 @@
 		if chosen.server.Region != at.region {
 			delay = r.current().Delay(at.region, chosen.server.Region)
 		}
-		sleep(delay)
-		served := r.work(chosen.server.Name)
-		sleep(delay)
+		a.sleep(delay)
+		served := r.work(a, chosen.server.Name)
+		a.sleep(delay)
 		r.mu.Lock()
 		at.inFlight[chosen.server.Name]--
 		r.mu.Unlock()
