One client for the platform; the stand-in store speaks the platform's published protocol

The product's ports for rows and objects are served by the same client as the feeds; the protocol of our own invention is gone, with its types.

--- a/entry/gate.go
+++ b/entry/gate.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"os"
+	"path"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -166,18 +167,19 @@
 // newStore returns a client of the store with connections of its own.
 func (g *gate) newStore() *platform.Store {
 	dial := newDialer(connectTimeout)
-	return &platform.Store{
-		Address: g.settings.Load().Store,
-		Client: &http.Client{
-			Transport: &http.Transport{
-				DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-					return dial.dial(ctx, address)
-				},
-				MaxIdleConnsPerHost: 1,
-				DisableCompression:  true,
+	store := platform.NewClient("http://"+g.settings.Load().Store, &http.Client{
+		Transport: &http.Transport{
+			DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+				return dial.dial(ctx, address)
 			},
+			MaxIdleConnsPerHost: 1,
+			DisableCompression:  true,
 		},
+	})
+	store.Observe = func(call, outcome string) {
+		metrics.GetOrRegisterCounter("store-calls."+path.Base(call)+"."+outcome, g.metrics).Inc(1)
 	}
+	return store
 }
 
 func (g *gate) serverChanged(server *routing.Server, belief placement.Belief, cause string) {
--- a/entry/key/load_test.go
+++ b/entry/key/load_test.go
@@ -171,13 +171,15 @@
 func BenchmarkCommit(b *testing.B) {
 	const batch = 64
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		var writes []platform.TransactionWrite
-		if err := json.NewDecoder(r.Body).Decode(&writes); err != nil {
+		var body struct {
+			Upserts []platform.Record `json:"upserts"`
+		}
+		if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		_ = json.NewEncoder(w).Encode(platform.TransactionResult{
-			Revisions: make([]platform.Revision, len(writes)),
+		_ = json.NewEncoder(w).Encode(platform.Records{
+			Version: 1,
 		})
 	}))
 	defer server.Close()
--- a/measure/capacity/process_test.go
+++ b/measure/capacity/process_test.go
@@ -20,7 +20,6 @@
 	"github.com/teaselstack/teaselstack/measure/capacity"
 	"github.com/teaselstack/teaselstack/measure/fleet"
 	"github.com/teaselstack/teaselstack/platform"
-	"github.com/teaselstack/teaselstack/platform/memory"
 	"github.com/teaselstack/teaselstack/publication"
 	"github.com/teaselstack/teaselstack/standin/store"
 )
@@ -62,7 +61,7 @@
 // entryMemory returns the resident bytes of an entry that has a configuration
 // of a size in force.
 func entryMemory(t *testing.T, program string, size fleet.Size) int64 {
-	server := httptest.NewServer(store.New(&memory.Store{}))
+	server := httptest.NewServer(store.New())
 	defer server.Close()
 	publisher := &publication.Publisher{
 		Platform: platform.NewClient(server.URL, server.Client()).Platform(),
--- a/standin/commands.go
+++ b/standin/commands.go
@@ -13,7 +13,6 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/teaselstack/teaselstack/platform/memory"
 	"github.com/teaselstack/teaselstack/standin/backend"
 	"github.com/teaselstack/teaselstack/standin/caller"
 	"github.com/teaselstack/teaselstack/standin/relay"
@@ -40,7 +39,7 @@
 	if err != nil {
 		return err
 	}
-	server := store.New(&memory.Store{})
+	server := store.New()
 	return serveAll(c.ctx, []endpoint{
 		{
 			address: loaded.Settings.Platform,
--- a/standin/site/deployment_test.go
+++ b/standin/site/deployment_test.go
@@ -23,7 +23,6 @@
 
 	teaselv1 "github.com/teaselstack/teaselstack/api/teasel/v1"
 	"github.com/teaselstack/teaselstack/api/teasel/v1/teaselv1connect"
-	"github.com/teaselstack/teaselstack/platform/memory"
 	"github.com/teaselstack/teaselstack/standin/backend"
 	"github.com/teaselstack/teaselstack/standin/caller"
 	"github.com/teaselstack/teaselstack/standin/relay"
@@ -101,7 +100,7 @@
 		Site:      loaded,
 		t:         t,
 		directory: directory,
-		platform:  store.New(&memory.Store{}),
+		platform:  store.New(),
 		fleet:     backend.NewFleet(loaded.Configuration),
 		relay:     relay.New(relay.NewTopology(loaded)),
 		entries:   make(map[string]*process),
--- a/standin/store/fault.go
+++ b/standin/store/fault.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,6 +34,10 @@
 	Delay document.Duration `json:"delay"`
 	// LostAnswers is how many writes take effect without an answer.
 	LostAnswers int `json:"lost-answers"`
+	// LateWrites is how much later writes whose answers are lost take effect.
+	LateWrites document.Duration `json:"late-writes"`
+	// TurnedAway are IP addresses whose calls are refused.
+	TurnedAway []string `json:"turned-away"`
 	// MachinesLag is how old the list of VMs is.
 	MachinesLag document.Duration `json:"machines-lag"`
 }
@@ -122,7 +127,7 @@
 
 // admit waits out delays and outages. It returns a status other than 200 for a
 // call that is refused, and an error for one whose client has gone.
-func (f *faults) admit(ctx context.Context, write bool) (int, error) {
+func (f *faults) admit(ctx context.Context, caller string, write bool) (int, error) {
 	limiter := f.reads
 	if write {
 		limiter = f.writes
@@ -132,7 +137,7 @@
 	}
 	for {
 		fault, changed := f.current()
-		if fault.Outage == Refuse {
+		if fault.Outage == Refuse || slices.Contains(fault.TurnedAway, caller) {
 			return http.StatusServiceUnavailable, nil
 		}
 		if fault.Outage == NoOutage {
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -1,40 +1,49 @@
-// Package store serves a platform in memory over the platform's HTTP protocol,
-// see docs/PROTOCOLS.md.
+// Package store serves a platform in memory over the published protocol of the
+// users' platform: rows in tables with versions, conditional transactions, feeds
+// of changes with a bounded history, and raw objects. It fails as that platform
+// may: see Fault.
 package store
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
+	"slices"
+	"strconv"
 	"strings"
-
-	"github.com/go-faster/errors"
+	"sync"
+	"time"
 
 	"github.com/teaselstack/teaselstack/platform"
-	"github.com/teaselstack/teaselstack/platform/memory"
 )
 
 // Server is the platform's HTTP service.
 type Server struct {
-	store  *memory.Store
+	rows   rows
 	faults *faults
+
+	mu      sync.Mutex
+	objects map[string][]byte
+	late    sync.WaitGroup
 }
 
-// New returns a platform that serves what store holds.
-func New(store *memory.Store) *Server {
+// New returns a platform that holds nothing.
+func New() *Server {
 	return &Server{
-		store:  store,
-		faults: newFaults(),
+		faults:  newFaults(),
+		objects: make(map[string][]byte),
 	}
 }
 
 // maxBody bounds one call's body, in bytes.
 const maxBody = 256 << 20
 
-// ServeHTTP serves the table under /table/, the object store under /objects/
-// and the list of VMs at /machines, as far as the fault in force lets it.
+// ServeHTTP serves rows, objects and the list of VMs at /machines, as far as the
+// fault in force lets it.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	write := r.Method != http.MethodGet
 	// The body is read first: only then is it seen that a client has gone.
@@ -44,7 +53,7 @@
 		return
 	}
 	r.Body = io.NopCloser(bytes.NewReader(content))
-	status, err := s.faults.admit(r.Context(), write)
+	status, err := s.faults.admit(r.Context(), caller(r), write)
 	switch {
 	case err != nil:
 		panic(http.ErrAbortHandler)
@@ -52,12 +61,63 @@
 		http.Error(w, "the platform does not serve now", status)
 		return
 	case write && s.faults.loses():
-		s.serve(discard{}, r)
+		s.serveLate(r)
 		panic(http.ErrAbortHandler)
 	}
 	s.serve(w, r)
 }
 
+func caller(r *http.Request) string {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
+}
+
+// serveLate performs a write whose answer is lost, now or after the delay that
+// the fault sets.
+func (s *Server) serveLate(r *http.Request) {
+	fault, _ := s.faults.current()
+	late := r.Clone(context.WithoutCancel(r.Context()))
+	if fault.LateWrites == 0 {
+		s.serve(discard{}, late)
+		return
+	}
+	s.late.Go(func() {
+		time.Sleep(time.Duration(fault.LateWrites))
+		s.serve(discard{}, late)
+	})
+}
+
+// Wait waits until all writes whose answers were lost have been performed.
+func (s *Server) Wait() { s.late.Wait() }
+
+// Compact forgets the history of changes, as the platform may at any time.
+func (s *Server) Compact() { s.rows.compact() }
+
+// Put writes a row as operators and backend servers do.
+func (s *Server) Put(table, key string, value []byte) uint64 {
+	version, _ := s.rows.commit(nil, []platform.Record{
+		{
+			Table: table,
+			Key:   key,
+			Value: value,
+		},
+	}, nil)
+	return version
+}
+
+// Remove drops a row as operators and backend servers do.
+func (s *Server) Remove(table, key string) {
+	s.rows.commit(nil, nil, []platform.Record{
+		{
+			Table: table,
+			Key:   key,
+		},
+	})
+}
+
 // discard is a ResponseWriter whose answer is lost.
 type discard struct{}
 
@@ -67,111 +127,132 @@
 
 func (discard) WriteHeader(int) {}
 
+// Paths of the objects' calls; the object's ID follows.
+const (
+	putPath  = "/v1/blob-put/"
+	getPath  = "/v1/blob-get/"
+	dropPath = "/v1/blob-drop/"
+)
+
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	path := r.URL.EscapedPath()
 	switch {
-	case path == "/table/transactions" && r.Method == http.MethodPost:
+	case path == "/v1/rows-tx" && r.Method == http.MethodPost:
 		s.transact(w, r)
-	case path == "/table/rows" && r.Method == http.MethodGet:
-		s.scan(w, r)
-	case strings.HasPrefix(path, "/table/rows/") && r.Method == http.MethodGet:
-		s.read(w, r, strings.TrimPrefix(path, "/table/rows/"))
-	case strings.HasPrefix(path, "/objects/"):
-		s.object(w, r, strings.TrimPrefix(path, "/objects/"))
+	case path == "/v1/rows-get" && r.Method == http.MethodGet:
+		query := r.URL.Query()
+		answer(w, http.StatusOK, s.rows.read(query.Get("table"), query.Get("part"), query.Get("from"), query.Get("target")))
+	case path == "/v1/rows-feed" && r.Method == http.MethodGet:
+		s.feed(w, r)
+	case strings.HasPrefix(path, putPath) && r.Method == http.MethodPut:
+		s.putObject(w, r, strings.TrimPrefix(path, putPath))
+	case strings.HasPrefix(path, getPath) && r.Method == http.MethodGet:
+		s.getObject(w, strings.TrimPrefix(path, getPath))
+	case strings.HasPrefix(path, dropPath) && r.Method == http.MethodDelete:
+		s.dropObject(w, strings.TrimPrefix(path, dropPath))
 	case path == "/machines" && r.Method == http.MethodGet:
-		answer(w, s.faults.machines(), nil)
+		answer(w, http.StatusOK, s.faults.machines())
 	default:
 		http.NotFound(w, r)
 	}
 }
 
+// guarded are the tables that only operators and backend servers write.
+var guarded = []string{platform.OperatorTable, platform.ServerTable}
+
 func (s *Server) transact(w http.ResponseWriter, r *http.Request) {
-	var body []platform.TransactionWrite
+	var body struct {
+		Expected []platform.Record `json:"expected"`
+		Upserts  []platform.Record `json:"upserts"`
+		Remove   []platform.Record `json:"remove"`
+	}
 	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	writes := make([]platform.Write, 0, len(body))
-	for _, write := range body {
-		value := write.Value
-		if value == nil && !write.Delete && !write.Check {
-			value = []byte{}
+	for _, each := range slices.Concat(body.Upserts, body.Remove) {
+		if slices.Contains(guarded, each.Table) {
+			http.Error(w, "the table is not the system's", http.StatusForbidden)
+			return
 		}
-		writes = append(writes, platform.Write{
-			Row:    write.Row,
-			Expect: write.Expect,
-			Value:  value,
-			Check:  write.Check,
-		})
-	}
-	revisions, err := s.store.Commit(r.Context(), writes)
-	var conflict *platform.ConflictError
-	if errors.As(err, &conflict) {
-		w.WriteHeader(http.StatusPreconditionFailed)
-		_ = json.NewEncoder(w).Encode(platform.TransactionResult{
-			Conflict: conflict.Row,
-			Actual:   conflict.Actual,
-		})
+	}
+	version, conflicts := s.rows.commit(body.Expected, body.Upserts, body.Remove)
+	result := platform.Records{
+		Rows:    conflicts,
+		Version: version,
+	}
+	if conflicts != nil {
+		answer(w, http.StatusPreconditionFailed, result)
 		return
 	}
-	answer(w, platform.TransactionResult{
-		Revisions: revisions,
-	}, err)
+	answer(w, http.StatusOK, result)
 }
 
-func (s *Server) scan(w http.ResponseWriter, r *http.Request) {
-	rows, err := s.store.Scan(r.Context(), r.URL.Query().Get("prefix"))
-	results := make([]platform.RowResult, 0, len(rows))
-	for _, row := range rows {
-		results = append(results, platform.RowResult(row))
+func (s *Server) feed(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
 	}
-	answer(w, results, err)
-}
-
-func (s *Server) read(w http.ResponseWriter, r *http.Request, escaped string) {
-	name, err := url.PathUnescape(escaped)
+	wait, err := strconv.Atoi(query.Get("wait_ms"))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	row, err := s.store.Read(r.Context(), name)
-	answer(w, platform.RowResult(row), err)
+	page, known := s.rows.changes(r.Context(), query.Get("table"), after, time.Duration(wait)*time.Millisecond)
+	if !known {
+		http.Error(w, "the history is gone", http.StatusGone)
+		return
+	}
+	answer(w, http.StatusOK, page)
 }
 
-func (s *Server) object(w http.ResponseWriter, r *http.Request, escaped string) {
-	name, err := url.PathUnescape(escaped)
+func (s *Server) putObject(w http.ResponseWriter, r *http.Request, escaped string) {
+	id, err := url.PathUnescape(escaped)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	switch r.Method {
-	case http.MethodGet:
-		content, err := s.store.Get(r.Context(), name)
-		if err != nil {
-			answer(w, nil, err)
-			return
-		}
-		_, _ = w.Write(content)
-	case http.MethodPut:
-		content, err := io.ReadAll(r.Body)
-		if err == nil {
-			err = s.store.Put(r.Context(), name, content)
-		}
-		answer(w, nil, err)
-	case http.MethodDelete:
-		answer(w, nil, s.store.Delete(r.Context(), name))
-	default:
-		w.WriteHeader(http.StatusMethodNotAllowed)
+	content, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, exists := s.objects[id]; exists && r.Header.Get("If-None-Match") == "*" {
+		w.WriteHeader(http.StatusPreconditionFailed)
+		return
+	}
+	s.objects[id] = content
 }
 
-func answer(w http.ResponseWriter, value any, err error) {
-	switch {
-	case errors.Is(err, platform.ErrNotFound):
-		http.Error(w, err.Error(), http.StatusNotFound)
-	case err != nil:
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-	default:
-		_ = json.NewEncoder(w).Encode(value)
+func (s *Server) getObject(w http.ResponseWriter, escaped string) {
+	id, err := url.PathUnescape(escaped)
+	s.mu.Lock()
+	content, found := s.objects[id]
+	s.mu.Unlock()
+	if err != nil || !found {
+		http.Error(w, "no such object", http.StatusNotFound)
+		return
 	}
+	_, _ = w.Write(content)
+}
+
+func (s *Server) dropObject(w http.ResponseWriter, escaped string) {
+	id, err := url.PathUnescape(escaped)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, found := s.objects[id]; err != nil || !found {
+		http.Error(w, "no such object", http.StatusNotFound)
+		return
+	}
+	delete(s.objects, id)
+}
+
+func answer(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
 }
--- a/standin/store/store_test.go
+++ b/standin/store/store_test.go
@@ -12,12 +12,11 @@
 
 	"github.com/teaselstack/teaselstack/document"
 	"github.com/teaselstack/teaselstack/platform"
-	"github.com/teaselstack/teaselstack/platform/memory"
 )
 
 func newClient(t *testing.T) (*Server, platform.Platform) {
 	t.Helper()
-	server := New(&memory.Store{})
+	server := New()
 	served := httptest.NewServer(server)
 	t.Cleanup(served.Close)
 	return server, platform.NewClient(served.URL, http.DefaultClient).Platform()
@@ -87,7 +86,7 @@
 	assert.Assert(t, faults.writes.AllowN(time.Now(), burst))
 	for status := http.StatusOK; status != http.StatusTooManyRequests; {
 		var err error
-		status, err = faults.admit(context.Background(), true)
+		status, err = faults.admit(context.Background(), "", true)
 		assert.NilError(t, err)
 	}
 }
