The pace of servers is learnt from warm objects; registrations are read every half drain

Cause: first touches of objects taught that servers were slow, so that requests were refused while a fleet warmed up.

--- a/entry/gate.go
+++ b/entry/gate.go
@@ -48,10 +48,10 @@
 }
 
 const (
-	// registrationInterval is the longest time between two readings of the
-	// registrations; half of the time within which a leaving server must be left
-	// alone is the other bound.
-	registrationInterval = 1200 * time.Millisecond
+	// registrationShare is the part of the time within which a leaving server must
+	// be left alone that may pass between two readings of the registrations; the
+	// rest is for the reading and for requests on their way.
+	registrationShare = 0.5
 	// connectTimeout bounds connecting to a backend server: a lost opening packet
 	// is sent again after a second, and the longest way takes a fraction of one.
 	connectTimeout = 700 * time.Millisecond
@@ -99,7 +99,7 @@
 		Operators:  g.newStore(),
 		Servers:    g.newStore(),
 		Regions:    settings.Domains,
-		Interval:   min(registrationInterval, settings.Bounds.Drain/2),
+		Interval:   time.Duration(registrationShare * float64(settings.Bounds.Drain)),
 		Configured: g.fleet.Configure,
 		Evacuate:   g.fleet.Evacuate,
 		Update:     g.fleet.Update,
--- a/entry/placement/cost.go
+++ b/entry/placement/cost.go
@@ -7,13 +7,13 @@
 
 // cost is how long an answer is expected to take: the way there and back, the
 // wait for a slot, and the work, which is longer where the object is not warm.
-func (f *Fleet) cost(request *Request, each *server, rank int, congestion float64, now time.Time) time.Duration {
+func (f *Fleet) cost(request *Request, each *server, rank int, now time.Time) time.Duration {
 	work := f.workOf(request)
 	slots := float64(each.Slots)
 	queued := max(0, f.load(each, now)+1-slots) / slots
 	own := 1.0
 	if rank > 0 && !f.warm.has(each.hash, request.Object, now) {
-		own = between(coldWorkPlenty, coldWorkFull, congestion)
+		own = coldWork
 	}
 	busy := (queued + own) * each.paceAt(now) * float64(work)
 	return f.travel[each.Region] + time.Duration(busy) + each.overdue(now)
@@ -29,12 +29,10 @@
 }
 
 const (
-	// coldWorkPlenty and coldWorkFull are how many times as long as for a warm
-	// object the work for another counts. It takes about that of the second; but
-	// it leaves a second copy warm, which relieves the object's first server from
-	// then on and is worth it while there is room.
-	coldWorkPlenty = 2
-	coldWorkFull   = 3.3
+	// coldWork is how many times as long as for a warm object the work for another
+	// counts. It takes longer than that, but leaves a second copy warm, which
+	// relieves the object's first server from then on.
+	coldWork = 2
 	// firstWork is the work assumed of a route without an objective, until answers
 	// tell.
 	firstWork = 300 * time.Millisecond
@@ -96,8 +94,9 @@
 		}
 		f.work[choice.route] = known
 	}
+	// An object that was not warm tells nothing of the server's pace.
 	expected := choice.Expected - f.travel[each.Region]
-	if expected > 0 {
+	if expected > 0 && (choice.known || took < expected) {
 		ratio := min(paceMost, float64(took)/float64(expected)*choice.pace)
 		each.pace = each.paceAt(now) + paceStep*(ratio-each.paceAt(now))
 		each.pacedAt = now
@@ -163,7 +162,7 @@
 }
 
 // remember notes that a server handles an object.
-func (f *Fleet) remember(request *Request, each *server, now time.Time) {
+func (f *Fleet) remember(object uint64, each *server, now time.Time) {
 	if f.warm.used == nil {
 		f.warm.used = make(map[warmKey]time.Time)
 	}
@@ -179,6 +178,6 @@
 	}
 	f.warm.used[warmKey{
 		server: each.hash,
-		object: request.Object,
+		object: object,
 	}] = now
 }
--- a/entry/placement/pattern_test.go
+++ b/entry/placement/pattern_test.go
@@ -19,6 +19,13 @@
 			length:  20 * time.Second,
 			objects: 24,
 		},
+		{
+			name:    "cold-start",
+			rate:    30,
+			length:  10 * time.Second,
+			objects: 70,
+			cold:    true,
+		},
 		{
 			name:       "flash-crowd",
 			rate:       30,
--- a/entry/placement/placement.go
+++ b/entry/placement/placement.go
@@ -155,7 +155,10 @@
 	Load float64
 	Age  time.Duration
 
-	route string
+	route  string
+	object uint64
+	// known says that the server had answered for the object lately.
+	known bool
 	work  time.Duration
 	pace  float64
 }
@@ -187,7 +190,7 @@
 		if f.load(each, now) >= maxLoad*float64(each.Slots) || !f.admitsCold(each, now) {
 			continue
 		}
-		cost := f.cost(request, each, rank, congestion, now)
+		cost := f.cost(request, each, rank, now)
 		if best < 0 || cost < bestCost {
 			best, bestCost = rank, cost
 		}
@@ -209,7 +212,8 @@
 	if request.Route != nil {
 		choice.route = request.Route.Name
 	}
-	f.remember(request, ranked[best], now)
+	choice.object = request.Object
+	choice.known = f.warm.has(ranked[best].hash, request.Object, now)
 	return choice, RefusalNone
 }
 
--- a/entry/placement/update.go
+++ b/entry/placement/update.go
@@ -137,6 +137,9 @@
 		known.others = max(0, float64(report.Running+report.Waiting-1-known.inFlight))
 		known.othersAt = now
 	}
+	if sign == SignAnswered {
+		f.remember(choice.object, known, now)
+	}
 	if took > 0 && sign == SignAnswered {
 		f.learn(known, choice, took, now)
 	}
--- a/entry/placement/world_test.go
+++ b/entry/placement/world_test.go
@@ -24,6 +24,8 @@
 	skew    map[string]float64
 	length  time.Duration
 	objects int
+	// cold says that no server has anything warm at the start.
+	cold bool
 	// hot is the share of the requests that concern one object.
 	hot float64
 	// burst multiplies the rate between two times.
@@ -74,6 +76,7 @@
 	arrivals map[string]*rand.Rand
 	queue    events
 	start    time.Time
+	warmUp   time.Duration
 	entries  []*entry
 	servers  []*backend
 	result   result
@@ -128,11 +131,17 @@
 }
 
 func (r result) String() string {
-	return fmt.Sprintf("asked=%d in-aim=%.3f late=%.3f refused=%.3f refused-twice=%.3f failed=%.3f sends=%.3f worst-region=%.3f",
-		r.asked, r.share(r.inAim), r.share(r.late), r.share(r.refused), r.share(r.refusedTwice), r.share(r.failed),
+	return fmt.Sprintf("credit=%.3f asked=%d in-aim=%.3f late=%.3f refused=%.3f refused-twice=%.3f failed=%.3f sends=%.3f worst-region=%.3f",
+		r.credit(), r.asked, r.share(r.inAim), r.share(r.late), r.share(r.refused), r.share(r.refusedTwice), r.share(r.failed),
 		float64(r.sends)/float64(max(1, r.inAim+r.late)), r.worst())
 }
 
+// credit is what the callers get out of it: a late answer is worth a fifth, and a
+// caller that was sent away twice has lost more than one that was told at once.
+func (r result) credit() float64 {
+	return r.share(r.inAim) + 0.2*r.share(r.late) - 0.3*r.share(r.refusedTwice)
+}
+
 func (r result) share(count int) float64 { return float64(count) / float64(max(1, r.asked)) }
 
 func (r result) worst() float64 {
@@ -215,13 +224,17 @@
 	for i, region := range slices.Concat(regions, regions, regions[:1]) {
 		w.entries = append(w.entries, w.newEntry(i, region))
 	}
-	end := warmUp + p.length
+	w.warmUp = warmUp
+	if p.cold {
+		w.warmUp = 0
+	}
+	end := w.warmUp + p.length
 	w.after(0, func() { w.tell(end + deadline) })
 	for _, region := range regions {
 		w.after(0, func() { w.arrive(region, end) })
 	}
 	for _, each := range p.events {
-		w.after(warmUp+each.at, func() { each.change(w) })
+		w.after(w.warmUp+each.at, func() { each.change(w) })
 	}
 	return w
 }
@@ -307,7 +320,7 @@
 	if p.skew != nil {
 		rate *= p.skew[region]
 	}
-	if p.burst > 0 && now >= warmUp+p.burstFrom && now < warmUp+p.burstUntil {
+	if p.burst > 0 && now >= w.warmUp+p.burstFrom && now < w.warmUp+p.burstUntil {
 		rate *= p.burst
 	}
 	random := w.arrivals[region]
@@ -322,7 +335,7 @@
 		impatient: random.Float64() < p.impatient,
 		began:     time.Now(),
 	}
-	if now >= warmUp {
+	if now >= w.warmUp {
 		w.result.asked++
 		w.result.byAsk[region]++
 	}
@@ -332,4 +345,4 @@
 }
 
 // counted reports whether a request came after the warm-up.
-func (w *world) counted(req *request) bool { return req.began.Sub(w.start) >= warmUp }
+func (w *world) counted(req *request) bool { return req.began.Sub(w.start) >= w.warmUp }
