--- a/entry/gateway/body.go
+++ b/entry/gateway/body.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -33,6 +34,26 @@
 	// rest is what follows start, nil if start is the whole body.
 	rest   io.ReadCloser
 	opened bool
+	// failed is the error with which the caller's body ended, while it was sent.
+	failed atomic.Pointer[error]
+}
+
+// Read reads what follows start. net/http hides the error of a request's body
+// from those who send it, so that it is kept here.
+func (b *body) Read(content []byte) (int, error) {
+	count, err := b.rest.Read(content)
+	if err != nil && !errors.Is(err, io.EOF) {
+		b.failed.Store(&err)
+	}
+	return count, err
+}
+
+// failure is the error with which the caller's body ended, or nil.
+func (b *body) failure() error {
+	if err := b.failed.Load(); err != nil {
+		return *err
+	}
+	return nil
 }
 
 // open returns the body for one send.
@@ -45,7 +66,7 @@
 		return io.NopCloser(start)
 	}
 	b.opened = true
-	return io.NopCloser(io.MultiReader(start, b.rest))
+	return io.NopCloser(io.MultiReader(start, b))
 }
 
 // repeatable reports whether the body can be sent once more.
@@ -98,8 +119,7 @@
 // bodyRefusal is the answer to a request whose body could not be read.
 func bodyRefusal(err error) *refusal {
 	status := http.StatusBadRequest
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	if tooLarge(err) {
 		status = http.StatusRequestEntityTooLarge
 	}
 	return &refusal{
@@ -108,6 +128,12 @@
 	}
 }
 
+// tooLarge reports whether an error says that a body is longer than allowed.
+func tooLarge(err error) bool {
+	var limit *http.MaxBytesError
+	return errors.As(err, &limit)
+}
+
 func (g *Gateway) releaseBody(req *request) {
 	g.buffered.Add(-int64(len(req.body.start)))
 }
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/teaselstack/teaselstack/entry/upstream"
 	"github.com/teaselstack/teaselstack/header"
 	"github.com/teaselstack/teaselstack/outcome"
+	"github.com/teaselstack/teaselstack/routing"
 )
 
 const (
@@ -98,8 +100,8 @@
 		g.log(req, "caller-left", nil).Str("reason", string(last)).Msg("")
 		panic(http.ErrAbortHandler)
 	}
-	if mayHaveRun && !req.repeatable() {
-		g.refuse(w, req, refusalOf(last, true))
+	if err := req.body.failure(); err != nil {
+		g.refuse(w, req, *bodyRefusal(err))
 		return
 	}
 	g.refuse(w, req, refusalOf(last, mayHaveRun))
@@ -111,7 +113,7 @@
 	result := attempt{
 		choice: choice,
 	}
-	leave, allowed := g.Quarantine.Enter(req.digest, choice.Server.ID)
+	leave, allowed := g.Quarantine.Enter(req.digest, incarnation(&choice.Server))
 	if !allowed {
 		g.Fleet.Done(&choice, placement.SignNone, nil, 0)
 		result.reason = outcome.ReasonQuarantined
@@ -146,6 +148,12 @@
 	return result
 }
 
+// incarnation names one start of a server: one that broke and came back breaks a
+// second time.
+func incarnation(server *routing.Server) string {
+	return server.ID + "@" + strconv.FormatInt(server.Born, 10)
+}
+
 // judgeAnswer tells what an answer says of the request and of its server.
 func (g *Gateway) judgeAnswer(result *attempt) {
 	answer := result.answer
@@ -184,13 +192,16 @@
 	case ctx.Err() != nil:
 		result.reason = outcome.ReasonDeadline
 		result.sign = placement.SignNone
+	case req.body.failure() != nil:
+		result.reason = outcome.ReasonBodyBroken
+		result.sign = placement.SignNone
 	case failure.Crossed:
 		result.reason = outcome.ReasonCrossedAnswer
 		result.sign = placement.SignBroken
 	default:
 		result.reason = outcome.ReasonBroken
 		result.sign = placement.SignBroken
-		g.Quarantine.Broke(req.digest, req.service, result.choice.Server.ID)
+		g.Quarantine.Broke(req.digest, req.service, incarnation(&result.choice.Server))
 	}
 	result.ran = true
 }
@@ -213,7 +224,8 @@
 	case req.sends >= req.route.Attempts,
 		result.ran && !req.repeatable(),
 		!req.body.repeatable(),
-		result.reason == outcome.ReasonDeadline:
+		result.reason == outcome.ReasonDeadline,
+		result.reason == outcome.ReasonBodyBroken:
 		return false
 	}
 	return g.Budget.Take(req.service, returning)
--- a/entry/placement/placement.go
+++ b/entry/placement/placement.go
@@ -456,16 +456,16 @@
 
 // coldTurn returns the number of this entry's turn at a cold server and whether
 // it is open. Entries take turns by the time of day, without a message; each
-// sends one request in its turn. Any second touches the turns of two seconds,
-// so turns begin at half of the bounded rate. Clocks that differ shift turns
-// but do not add any.
+// sends one request in its turn. Any second touches the turns that begin within
+// two, so turns begin at half of the bounded rate, less one for the turn that is
+// touched in part. Clocks that differ shift turns but do not add any.
 func (f *Fleet) coldTurn(each *server, now time.Time) (turn int64, open bool) {
 	factor, bound := f.options.coldBound()
 	if service := f.settings[each.Service]; service != nil {
 		bound += service.ColdRate * factor
 	}
 	index, count := f.Entries()
-	cycle := time.Duration(float64(count) / max(bound/2, minColdRate) * float64(time.Second))
+	cycle := time.Duration(float64(count) / max((bound-1)/2, minColdRate) * float64(time.Second))
 	cycle = max(cycle, coldSlot)
 	offset := cycle / time.Duration(count) * time.Duration(index)
 	// Servers that turn cold together have their turns at different times.
--- a/entry/upstream/upstream.go
+++ b/entry/upstream/upstream.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -137,6 +138,11 @@
 		if sendErr = request.Write(link.writer); sendErr == nil {
 			sendErr = link.writer.Flush()
 		}
+		if sendErr != nil && !errors.Is(sendErr, syscall.EPIPE) && !errors.Is(sendErr, syscall.ECONNRESET) {
+			// The rest of the body will never come; nothing is left to wait for. A
+			// server that reads no more may have answered already.
+			link.shut()
+		}
 	}
 	if request.ContentLength >= 0 && request.ContentLength <= inlineBody {
 		send()
@@ -153,6 +159,9 @@
 	if failure != nil {
 		link.shut()
 		sending.Wait()
+		if sendErr != nil {
+			failure.Err = errors.Wrap(sendErr, "send request")
+		}
 		return nil, failure
 	}
 	answer, err := buffer(response)
