--- /dev/null
+++ b/entry/registry/registry_test.go
@@ -0,0 +1,326 @@
+package registry_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/phuslu/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/teaselstack/teaselstack/entry/registry"
+	"github.com/teaselstack/teaselstack/platform"
+	"github.com/teaselstack/teaselstack/routing"
+	"github.com/teaselstack/teaselstack/standin/store"
+)
+
+// direct calls a handler without a network, so that the paused clock works.
+type direct struct {
+	handler http.Handler
+}
+
+func (d direct) RoundTrip(request *http.Request) (resp *http.Response, err error) {
+	recorder := httptest.NewRecorder()
+	defer func() {
+		if recover() != nil {
+			err = io.ErrUnexpectedEOF
+		}
+	}()
+	request.RemoteAddr = "10.0.0.1:1"
+	if request.Body == nil {
+		request.Body = http.NoBody
+	}
+	d.handler.ServeHTTP(recorder, request)
+	return recorder.Result(), request.Context().Err()
+}
+
+// follower is a registry with what it told.
+type follower struct {
+	*registry.Registry
+	store  *store.Server
+	cancel context.CancelFunc
+	group  sync.WaitGroup
+
+	mu       sync.Mutex
+	servers  map[string]routing.Server
+	doubtful []string
+	evacuate []string
+}
+
+// follow runs a test with a registry that follows a stand-in store.
+func follow(t *testing.T, test func(t *testing.T, f *follower)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFollower(store.New())
+		defer f.stop()
+		test(t, f)
+	})
+}
+
+func newFollower(server *store.Server) *follower {
+	f := &follower{
+		store:   server,
+		servers: make(map[string]routing.Server),
+	}
+	client := func() *platform.Store {
+		return platform.NewClient("http://store", &http.Client{
+			Transport: direct{
+				handler: server,
+			},
+		})
+	}
+	f.Registry = &registry.Registry{
+		Operators: client(),
+		Servers:   client(),
+		Regions: map[string]string{
+			"north-a": "north",
+		},
+		Interval:   time.Second,
+		Configured: func(*routing.Configuration) {},
+		Evacuate:   f.setEvacuated,
+		Update:     f.update,
+		Remove:     f.remove,
+		Doubt:      f.doubt,
+		Introducers: func() []func(context.Context) (registry.Snapshot, error) {
+			return nil
+		},
+		Logger: &log.Logger{
+			Level:  log.InfoLevel,
+			Writer: log.IOWriter{Writer: io.Discard},
+		},
+	}
+	return f
+}
+
+// run starts to follow.
+func (f *follower) run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	f.group.Go(func() { f.Run(ctx) })
+}
+
+func (f *follower) stop() {
+	if f.cancel != nil {
+		f.cancel()
+	}
+	f.group.Wait()
+	f.store.Wait()
+}
+
+func (f *follower) setEvacuated(domains map[string]bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.evacuate = nil
+	for domain := range domains {
+		f.evacuate = append(f.evacuate, domain)
+	}
+}
+
+func (f *follower) update(news []routing.Server) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, each := range news {
+		f.servers[each.ID] = each
+	}
+}
+
+func (f *follower) remove(ids []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range ids {
+		delete(f.servers, id)
+	}
+}
+
+func (f *follower) doubt(ids []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.doubtful = slices.Clone(ids)
+}
+
+// has reports whether a server counts as registered, and whether as leaving.
+func (f *follower) has(id string) (registered, draining, doubtful bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	server, registered := f.servers[id]
+	return registered, server.Draining, slices.Contains(f.doubtful, id)
+}
+
+func (f *follower) configure(version int) {
+	f.store.Put(platform.OperatorTable, platform.ConfigurationKey, fmt.Appendf(nil,
+		`{"version":%d,"vhosts":[{"host":"a","paths":[{"name":"r","prefix":"/","service":"desk"}]}]}`, version))
+}
+
+func (f *follower) register(id, state string, sequence int) {
+	f.store.Put(platform.ServerTable, id, fmt.Appendf(nil,
+		`{"addr":"a","info":{"service":"desk","zone":"north-a","slots":3},"status":{"state":%q,"seq":%d,"cold_left":"0ms"}}`, state, sequence))
+}
+
+func (f *follower) version() uint64 {
+	if conf := f.Configuration(); conf != nil {
+		return conf.Version
+	}
+	return 0
+}
+
+func TestNewestConfigurationStays(t *testing.T) {
+	follow(t, func(t *testing.T, f *follower) {
+		f.configure(3)
+		f.run()
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, f.version(), uint64(3))
+		f.configure(9)
+		synctest.Wait()
+		assert.Equal(t, f.version(), uint64(9), "news comes at once")
+		f.configure(8)
+		f.store.Put(platform.OperatorTable, platform.ConfigurationKey, []byte("{"))
+		time.Sleep(30 * time.Second)
+		assert.Equal(t, f.version(), uint64(9))
+	})
+}
+
+func TestEvacuation(t *testing.T) {
+	follow(t, func(t *testing.T, f *follower) {
+		f.configure(1)
+		f.run()
+		f.store.Put(platform.OperatorTable, "evacuate/north-a", []byte("{}"))
+		time.Sleep(100 * time.Millisecond)
+		assert.DeepEqual(t, f.evacuate, []string{"north-a"})
+		f.store.Compact()
+		f.store.Remove(platform.OperatorTable, "evacuate/north-a")
+		time.Sleep(30 * time.Second)
+		assert.Equal(t, len(f.evacuate), 0)
+	})
+}
+
+func TestLeavingServers(t *testing.T) {
+	follow(t, func(t *testing.T, f *follower) {
+		f.configure(1)
+		f.register("a", "ready", 1)
+		f.register("b", "ready", 1)
+		f.run()
+		time.Sleep(100 * time.Millisecond)
+		assert.Assert(t, f.Known())
+		f.register("a", "draining", 2)
+		f.store.Remove(platform.ServerTable, "b")
+		time.Sleep(1100 * time.Millisecond)
+		registered, draining, _ := f.has("a")
+		assert.Assert(t, registered && draining)
+		registered, _, _ = f.has("b")
+		assert.Assert(t, !registered)
+	})
+}
+
+// TestRenewedAndRemovedInOneAnswer: the last state of a row counts.
+func TestRenewedAndRemovedInOneAnswer(t *testing.T) {
+	follow(t, func(t *testing.T, f *follower) {
+		f.configure(1)
+		f.register("a", "ready", 1)
+		f.run()
+		time.Sleep(100 * time.Millisecond)
+		f.register("a", "ready", 2)
+		f.store.Remove(platform.ServerTable, "a")
+		time.Sleep(1100 * time.Millisecond)
+		registered, _, _ := f.has("a")
+		assert.Assert(t, !registered)
+	})
+}
+
+// TestHistoryGone reads the tables in full and misses nothing.
+func TestHistoryGone(t *testing.T) {
+	follow(t, func(t *testing.T, f *follower) {
+		f.configure(1)
+		f.register("a", "ready", 1)
+		f.register("b", "ready", 1)
+		f.run()
+		time.Sleep(100 * time.Millisecond)
+		f.store.SetFault(store.Fault{
+			Outage: store.Refuse,
+		})
+		time.Sleep(11 * time.Second)
+		f.store.Remove(platform.ServerTable, "a")
+		f.register("b", "draining", 2)
+		f.configure(2)
+		f.store.Compact()
+		f.store.SetFault(store.Fault{})
+		time.Sleep(5 * time.Second)
+		registered, _, _ := f.has("a")
+		assert.Assert(t, !registered)
+		_, draining, _ := f.has("b")
+		assert.Assert(t, draining)
+		assert.Equal(t, f.version(), uint64(2))
+	})
+}
+
+// TestLapsedWhileTheStoreWasAway: a registration that is missing after an outage
+// is doubtful for two seconds and gone then, also when nothing else changes.
+func TestLapsedWhileTheStoreWasAway(t *testing.T) {
+	follow(t, func(t *testing.T, f *follower) {
+		f.configure(1)
+		f.register("a", "ready", 1)
+		f.register("b", "ready", 1)
+		f.run()
+		time.Sleep(100 * time.Millisecond)
+		f.store.SetFault(store.Fault{
+			Outage: store.Refuse,
+		})
+		time.Sleep(12 * time.Second)
+		f.store.Remove(platform.ServerTable, "a")
+		f.store.Remove(platform.ServerTable, "b")
+		f.store.SetFault(store.Fault{})
+		time.Sleep(500 * time.Millisecond)
+		registered, _, doubtful := f.has("a")
+		assert.Assert(t, registered && doubtful)
+		f.register("b", "ready", 1)
+		time.Sleep(2 * time.Second)
+		registered, _, _ = f.has("a")
+		assert.Assert(t, !registered)
+		registered, _, doubtful = f.has("b")
+		assert.Assert(t, registered && !doubtful)
+	})
+}
+
+// TestStartTurnedAway: an entry that starts while the store turns it away takes
+// over what another has read, and the store's word once it answers.
+func TestStartTurnedAway(t *testing.T) {
+	follow(t, func(t *testing.T, f *follower) {
+		f.configure(4)
+		f.register("a", "ready", 1)
+		f.run()
+		time.Sleep(100 * time.Millisecond)
+		f.store.SetFault(store.Fault{
+			TurnedAway: []string{"10.0.0.1"},
+		})
+		late := newFollower(f.store)
+		defer late.stop()
+		late.Introducers = func() []func(context.Context) (registry.Snapshot, error) {
+			return []func(context.Context) (registry.Snapshot, error){
+				func(context.Context) (registry.Snapshot, error) {
+					return registry.Snapshot{}, io.ErrUnexpectedEOF
+				},
+				func(context.Context) (registry.Snapshot, error) {
+					snapshot, _ := f.Snapshot()
+					return snapshot, nil
+				},
+			}
+		}
+		late.run()
+		time.Sleep(1500 * time.Millisecond)
+		assert.Assert(t, late.Known())
+		assert.Equal(t, late.version(), uint64(4))
+		registered, _, _ := late.has("a")
+		assert.Assert(t, registered)
+		f.store.Remove(platform.ServerTable, "a")
+		f.store.SetFault(store.Fault{})
+		time.Sleep(5 * time.Second)
+		registered, _, _ = late.has("a")
+		assert.Assert(t, !registered)
+	})
+}
--- a/logline/buffer.go
+++ b/logline/buffer.go
@@ -23,7 +23,10 @@
 	total   int64
 	closed  bool
 	wake    chan struct{}
-	group   sync.WaitGroup
+	// ended is closed by Close, done once the last line is written.
+	ended chan struct{}
+	done  chan struct{}
+	group sync.WaitGroup
 }
 
 const (
@@ -42,8 +45,13 @@
 	b := &Buffer{
 		target: target,
 		wake:   make(chan struct{}, 1),
+		ended:  make(chan struct{}),
+		done:   make(chan struct{}),
 	}
-	b.group.Go(b.run)
+	b.group.Go(func() {
+		defer close(b.done)
+		b.run()
+	})
 	return b
 }
 
@@ -72,17 +80,28 @@
 	return len(line), nil
 }
 
+// run writes what is pending until the buffer is closed.
 func (b *Buffer) run() {
-	for range b.wake {
-		time.Sleep(flushInterval)
-		if b.flush() {
+	timer := time.NewTimer(flushInterval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-b.wake:
+		case <-b.ended:
+			b.flush()
 			return
 		}
+		timer.Reset(flushInterval)
+		select {
+		case <-timer.C:
+		case <-b.ended:
+		}
+		b.flush()
 	}
 }
 
-// flush writes what is pending and reports whether the buffer is closed.
-func (b *Buffer) flush() bool {
+// flush writes what is pending.
+func (b *Buffer) flush() {
 	b.mu.Lock()
 	lines := bytes.Clone(b.pending.Bytes())
 	b.pending.Reset()
@@ -90,11 +109,11 @@
 		lines = append(lines, `{"level":"warn","event":"log-lines-dropped","count":`+strconv.Itoa(b.dropped)+"}\n"...)
 		b.dropped = 0
 	}
-	closed := b.closed
 	b.mu.Unlock()
-	// There is nowhere to report that standard output fails.
-	_, _ = b.target.Write(lines)
-	return closed
+	if len(lines) > 0 {
+		// There is nowhere to report that standard output fails.
+		_, _ = b.target.Write(lines)
+	}
 }
 
 // Dropped returns how many lines were dropped.
@@ -104,19 +123,16 @@
 	return b.total
 }
 
-// Close writes what is pending, for a bounded time.
+// Close writes what is pending, for a bounded time. Later lines are dropped.
 func (b *Buffer) Close() {
 	b.mu.Lock()
-	b.closed = true
+	if !b.closed {
+		b.closed = true
+		close(b.ended)
+	}
 	b.mu.Unlock()
-	done := make(chan struct{})
-	var group sync.WaitGroup
-	group.Go(func() {
-		defer close(done)
-		b.flush()
-	})
 	select {
-	case <-done:
+	case <-b.done:
 	case <-time.After(closeTimeout):
 	}
 }
--- /dev/null
+++ b/logline/buffer_test.go
@@ -0,0 +1,79 @@
+package logline_test
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/teaselstack/teaselstack/logline"
+)
+
+// stuck is a standard output that nobody reads until it is opened.
+type stuck struct {
+	open chan struct{}
+	mu   sync.Mutex
+	got  bytes.Buffer
+}
+
+func (s *stuck) Write(content []byte) (int, error) {
+	<-s.open
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.got.Write(content)
+}
+
+func (s *stuck) text() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.got.String()
+}
+
+// TestNobodyReads: a writer that hangs blocks nobody who logs, memory stays
+// bounded, warnings outlast others, and the lines dropped are counted.
+func TestNobodyReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &stuck{
+			open: make(chan struct{}),
+		}
+		lines := logline.NewBuffer(out)
+		logger := logline.NewJSON(lines, "entry", "entry-1")
+		began := time.Now()
+		text := strings.Repeat("x", 1000)
+		for range 5000 {
+			logger.Info().Str("event", "answered").Str("text", text).Msg("")
+		}
+		for range 100 {
+			logger.Warn().Str("event", "store-lost").Msg("")
+		}
+		assert.Equal(t, time.Since(began), time.Duration(0))
+		assert.Assert(t, lines.Dropped() > 3000)
+		close(out.open)
+		time.Sleep(time.Second)
+		logger.Info().Str("event", "after").Msg("")
+		lines.Close()
+		assert.Equal(t, strings.Count(out.text(), "store-lost"), 100)
+		assert.Equal(t, strings.Count(out.text(), "log-lines-dropped"), 1)
+		assert.Equal(t, strings.Count(out.text(), `"event":"after"`), 1)
+		assert.Assert(t, len(out.text()) < 1<<20+1000)
+	})
+}
+
+// TestCloseIsBounded: a process that ends does not wait for its reader.
+func TestCloseIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &stuck{
+			open: make(chan struct{}),
+		}
+		lines := logline.NewBuffer(out)
+		logline.NewJSON(lines, "entry", "entry-1").Info().Str("event", "stopped").Msg("")
+		began := time.Now()
+		lines.Close()
+		assert.Assert(t, time.Since(began) <= 200*time.Millisecond)
+		close(out.open)
+	})
+}
