--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -67,6 +67,8 @@
 	bodyLimit int64
 	tried     []string
 	sends     int
+	// last is the placement that refused the request, if one did.
+	last *placement.Choice
 }
 
 // InFlight returns how many requests are being served.
--- a/entry/gateway/refusal.go
+++ b/entry/gateway/refusal.go
@@ -76,7 +76,7 @@
 	// A caller that has left needs no answer.
 	_, _ = io.WriteString(w, string(no.reason)+"\n")
 	g.count(req, no.status)
-	g.log(req, "refused", nil).Int("status", no.status).Str("reason", string(no.reason)).
+	g.log(req, "refused", req.last).Int("status", no.status).Str("reason", string(no.reason)).
 		Int64("retry-after-ms", no.wait.Milliseconds()).
 		Int64("total-ms", time.Since(req.arrived).Milliseconds()).Msg("")
 }
@@ -104,7 +104,8 @@
 	}
 	if choice != nil {
 		line = line.Str("server", choice.Server.ID).Int("rank", choice.Rank).
-			Float64("load", float64(int(choice.Load*10))/10).Int64("load-age-ms", choice.Age.Milliseconds())
+			Float64("load", float64(int(choice.Load*10))/10).Int64("load-age-ms", choice.Age.Milliseconds()).
+			Int64("expected-ms", choice.Expected.Milliseconds()).Float64("congestion", float64(int(choice.Congestion*100))/100)
 	}
 	return line
 }
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -61,12 +61,14 @@
 
 			Returning: returning,
 		})
+		req.last = &choice
 		if refusal != placement.RefusalNone {
 			if req.sends == 0 {
 				last = outcome.Reason(refusal)
 			}
 			break
 		}
+		req.last = nil
 		req.tried = append(req.tried, choice.Server.ID)
 		result := g.send(ctx, req, choice)
 		if result.failure != nil && result.failure.Unconnected {
@@ -137,7 +139,7 @@
 		took -= result.answer.Connected
 	}
 	g.Fleet.Done(&choice, result.sign, report, took)
-	line := g.log(req, "sent", &choice).Int64("took-ms", took.Milliseconds()).Int64("expected-ms", choice.Expected.Milliseconds())
+	line := g.log(req, "sent", &choice).Int64("took-ms", took.Milliseconds())
 	if result.answer != nil {
 		line = line.Int("status", result.answer.StatusCode)
 	}
--- a/entry/placement/placement.go
+++ b/entry/placement/placement.go
@@ -154,6 +154,8 @@
 	// server's own figure is; 0 if there is none.
 	Load float64
 	Age  time.Duration
+	// Congestion is how far the service is from having room, from 0 to 1.
+	Congestion float64
 
 	route  string
 	object uint64
@@ -174,7 +176,8 @@
 )
 
 // Choose reserves a place for a request at a server. Done must follow when
-// there is no refusal.
+// there is no refusal. With one, the choice holds the figures of the server that
+// came closest, if there was any.
 func (f *Fleet) Choose(request *Request) (Choice, Refusal) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -199,11 +202,18 @@
 			break
 		}
 	}
-	if best < 0 || !f.admits(request, ranked[best], bestCost, congestion, now) {
-		return Choice{}, RefusalFull
+	if best < 0 {
+		return Choice{
+			Congestion: congestion,
+		}, RefusalFull
 	}
-	choice := f.take(ranked[best], best, now)
+	choice := f.describe(ranked[best], best, now)
 	choice.Expected = bestCost
+	choice.Congestion = congestion
+	if !f.admits(request, ranked[best], bestCost, congestion, now) {
+		return choice, RefusalFull
+	}
+	f.take(ranked[best], now)
 	choice.work = f.workOf(request)
 	choice.pace = ranked[best].paceAt(now)
 	if each := ranked[best]; each.inFlight == 1 || each.waitingSince.IsZero() {
@@ -217,8 +227,8 @@
 	return choice, RefusalNone
 }
 
-// take counts a request at a server.
-func (f *Fleet) take(each *server, rank int, now time.Time) Choice {
+// describe returns a server with the figures that speak for it.
+func (f *Fleet) describe(each *server, rank int, now time.Time) Choice {
 	choice := Choice{
 		Server: each.Server,
 		Rank:   rank,
@@ -227,20 +237,15 @@
 	if !each.othersAt.IsZero() {
 		choice.Age = now.Sub(each.othersAt)
 	}
+	return choice
+}
+
+// take counts a request at a server.
+func (f *Fleet) take(each *server, now time.Time) {
 	if now.Before(each.coldUntil) {
 		each.coldTurn, _ = f.coldTurn(each, now)
 	}
 	each.inFlight++
-	return choice
-}
-
-// Usable reports whether a server may still be sent a request that was placed
-// there a while ago.
-func (f *Fleet) Usable(id string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	each := f.servers[id]
-	return each != nil && !each.Draining && !f.evacuated[each.Domain]
 }
 
 // rank returns the servers that may run a request in the object's order.
--- a/teaselctl/commands.go
+++ b/teaselctl/commands.go
@@ -74,6 +74,12 @@
 				base: common,
 			},
 		},
+		{
+			name:    "story",
+			short:   "tell what became of one request",
+			long:    "Reads entries' logs from files or standard input, gathers all lines on a request and what the entries believed shortly before, and prints them in the order of time.",
+			command: &storyCommand{},
+		},
 		{
 			name:  "drain",
 			short: "take a backend server, a service's region or an entry out",
--- /dev/null
+++ b/teaselctl/story.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"io"
+	"os"
+
+	"github.com/go-faster/errors"
+
+	"github.com/teaselstack/teaselstack/teaselctl/story"
+)
+
+// storyCommand tells what became of one request.
+type storyCommand struct {
+	ID string `long:"id" required:"true" description:"the request's ID" value-name:"ID"`
+}
+
+// Execute reads the files named, or standard input without any.
+func (c *storyCommand) Execute(files []string) error {
+	logs := []io.Reader{os.Stdin}
+	if len(files) > 0 {
+		logs = nil
+	}
+	for _, name := range files {
+		file, err := os.Open(name)
+		if err != nil {
+			return errors.Wrap(err, "open log")
+		}
+		defer file.Close()
+		logs = append(logs, file)
+	}
+	return story.Tell(os.Stdout, c.ID, logs...)
+}
--- /dev/null
+++ b/teaselctl/story/story_test.go
@@ -0,0 +1,39 @@
+package story_test
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"github.com/teaselstack/teaselstack/teaselctl/story"
+)
+
+// TestStories tells requests of played days. Each log holds the output of the
+// entries that handled the request.
+func TestStories(t *testing.T) {
+	logs, err := filepath.Glob("testdata/*.log")
+	assert.NilError(t, err)
+	assert.Assert(t, len(logs) > 0)
+	for _, log := range logs {
+		name := strings.TrimSuffix(filepath.Base(log), ".log")
+		t.Run(name, func(t *testing.T) {
+			content, err := os.ReadFile(log)
+			assert.NilError(t, err)
+			_, id, _ := strings.Cut(name, "-")
+			var out bytes.Buffer
+			assert.NilError(t, story.Tell(&out, id, bytes.NewReader(content)))
+			golden.Assert(t, out.String(), name+".golden")
+		})
+	}
+}
+
+func TestUnknownRequest(t *testing.T) {
+	var out bytes.Buffer
+	err := story.Tell(&out, "none", strings.NewReader("no json\n{\"event\":\"x\"}\n"))
+	assert.ErrorIs(t, err, story.ErrNotFound)
+}
