--- /dev/null
+++ b/standin/server/server.go
@@ -0,0 +1,251 @@
+// Package server stands in for a backend server on a platform whose store holds
+// the registrations: it has slots and a short queue, tells its load, echoes the
+// request's ID, runs nothing that is meant for another, and counts what it ran.
+package server
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/teaselstack/teaselstack/platform"
+	"github.com/teaselstack/teaselstack/standin/store"
+)
+
+// Ledger counts the runs of all servers by request ID.
+type Ledger struct {
+	mu   sync.Mutex
+	runs map[string]int
+	late []string
+}
+
+// Runs returns how often a request ran.
+func (l *Ledger) Runs(id string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.runs[id]
+}
+
+// Late returns the runs that began too long after their server said that it
+// leaves.
+func (l *Ledger) Late() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.late
+}
+
+func (l *Ledger) ran(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.runs == nil {
+		l.runs = make(map[string]int)
+	}
+	l.runs[id]++
+}
+
+func (l *Ledger) overdue(what string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.late = append(l.late, what)
+}
+
+// Faults is what is wrong with a server. The zero value is a sound one.
+type Faults struct {
+	// Lose is the share of the answers that are lost after their requests ran.
+	Lose float64
+	// Slow is how many times longer the work takes; 0 stands for once.
+	Slow float64
+	// Shed is the share of the requests that are turned away.
+	Shed float64
+}
+
+// Server is one backend server.
+type Server struct {
+	ID      string
+	Service string
+	Domain  string
+	Slots   int
+	Work    time.Duration
+	// Address is where callers reach it, a proxy's perhaps.
+	Address string
+	// DrainBound is how long after it said that it leaves it may get new work.
+	DrainBound time.Duration
+	Ledger     *Ledger
+	Store      *store.Server
+
+	mu       sync.Mutex
+	faults   Faults
+	born     int64
+	sequence int
+	draining time.Time
+	running  int
+	waiting  int
+	free     chan struct{}
+	http     *http.Server
+	group    sync.WaitGroup
+}
+
+// queue is how many requests wait for a slot, in slots.
+const queue = 3
+
+// Start serves on a listener and registers the server.
+func (s *Server) Start(listener net.Listener) {
+	s.mu.Lock()
+	s.free = make(chan struct{}, s.Slots)
+	s.born = time.Now().UnixMilli()
+	s.sequence = 0
+	s.draining = time.Time{}
+	s.http = &http.Server{
+		Handler: http.HandlerFunc(s.serve),
+	}
+	server := s.http
+	s.mu.Unlock()
+	s.group.Go(func() {
+		// The listener is closed by Crash, which is no failure.
+		_ = server.Serve(listener)
+	})
+	s.register("ready")
+}
+
+// Crash ends the server at once; its registration stays.
+func (s *Server) Crash() {
+	s.mu.Lock()
+	server := s.http
+	s.mu.Unlock()
+	// What is in flight breaks off, as it does in a crash.
+	_ = server.Close()
+	s.group.Wait()
+}
+
+// Drain says that the server leaves; it serves on.
+func (s *Server) Drain() {
+	s.register("draining")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = time.Now()
+}
+
+// Leave drops the registration.
+func (s *Server) Leave() { s.Store.Remove(platform.ServerTable, s.ID) }
+
+// Set replaces what is wrong with the server.
+func (s *Server) Set(faults Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+}
+
+func (s *Server) register(state string) {
+	s.mu.Lock()
+	s.sequence++
+	value := fmt.Appendf(nil, `{"addr":%q,"info":{"service":%q,"version":"v1","zone":%q,"slots":%d},"status":{"state":%q,"seq":%d,"cold_left":"0ms"},"born":%d}`,
+		s.Address, s.Service, s.Domain, s.Slots, state, s.sequence, s.born)
+	s.mu.Unlock()
+	s.Store.Put(platform.ServerTable, s.ID, value)
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	names := platform.Headers
+	id := r.Header.Get(names.RequestID)
+	w.Header().Set(names.RequestID, id)
+	w.Header().Set(names.Load, s.load())
+	if target := r.Header.Get(names.Target); target != "" && target != s.ID {
+		w.Header().Set(names.Instance, s.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	faults, admitted := s.admit()
+	if !admitted || id == "" {
+		w.Header().Set(names.NotExecuted, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), deadline(r.Header.Get(names.DeadlineMS)))
+	defer cancel()
+	ran := s.run(ctx, id, faults)
+	switch {
+	case !ran:
+		w.Header().Set(names.NotExecuted, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case ctx.Err() != nil:
+		w.Header().Set(names.Stamp, s.ID)
+		w.WriteHeader(http.StatusGatewayTimeout)
+	case rand.Float64() < faults.Lose:
+		panic(http.ErrAbortHandler)
+	default:
+		w.Header().Set(names.Stamp, s.ID)
+		// A caller that has left needs no answer.
+		_, _ = io.WriteString(w, Body(id))
+	}
+}
+
+// Body is the answer to a request.
+func Body(id string) string { return "the answer to " + id }
+
+func deadline(text string) time.Duration {
+	value, err := strconv.Atoi(text)
+	if err != nil {
+		return time.Minute
+	}
+	return time.Duration(value) * time.Millisecond
+}
+
+func (s *Server) load() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fmt.Sprintf("%d,%d,%d", s.running, s.waiting, s.Slots)
+}
+
+// admit takes a request into the queue if there is room.
+func (s *Server) admit() (Faults, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running+s.waiting >= (1+queue)*s.Slots || rand.Float64() < s.faults.Shed {
+		return s.faults, false
+	}
+	s.waiting++
+	return s.faults, true
+}
+
+// run waits for a slot and works; false if the time was up before.
+func (s *Server) run(ctx context.Context, id string, faults Faults) bool {
+	select {
+	case s.free <- struct{}{}:
+	case <-ctx.Done():
+		s.count(-1, 0)
+		return false
+	}
+	defer func() { <-s.free }()
+	s.count(-1, 1)
+	defer s.count(0, -1)
+	s.mu.Lock()
+	draining := s.draining
+	s.mu.Unlock()
+	s.Ledger.ran(id)
+	if !draining.IsZero() && time.Since(draining) > s.DrainBound {
+		s.Ledger.overdue(fmt.Sprintf("%s at %s, %s after it said that it leaves", id, s.ID, time.Since(draining)))
+	}
+	work := time.NewTimer(time.Duration(float64(s.Work) * max(1, faults.Slow)))
+	defer work.Stop()
+	select {
+	case <-work.C:
+	case <-ctx.Done():
+	}
+	return true
+}
+
+func (s *Server) count(waiting, running int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting += waiting
+	s.running += running
+}
