--- a/entry/placement/health.go
+++ b/entry/placement/health.go
@@ -12,7 +12,7 @@
 const (
 	// SignAnswered is a whole answer of the server's own.
 	SignAnswered Sign = iota
-	// SignShed is a refusal although the server seemed to have room.
+	// SignShed is a refusal by a server that reports free slots.
 	SignShed
 	// SignFull is a refusal of a server that reports no free slot.
 	SignFull
@@ -80,7 +80,7 @@
 		return false
 	}
 	h.failures++
-	condemned := sign == SignUnconnected ||
+	condemned := sign == SignUnconnected || sign == SignShed ||
 		h.failures >= failWeight && h.failures >= failShare*h.total
 	if !condemned || now.Before(h.until) {
 		return false
--- a/entry/placement/update.go
+++ b/entry/placement/update.go
@@ -143,7 +143,7 @@
 	if took > 0 && sign == SignAnswered {
 		f.learn(known, choice, took, now)
 	}
-	if sign == SignShed && report != nil && report.Running >= report.Slots {
+	if sign == SignShed && (report == nil || report.Running >= report.Slots) {
 		sign = SignFull
 	}
 	if known.health.observe(sign, now) {
