--- a/entry/gateway/refusal.go
+++ b/entry/gateway/refusal.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -25,8 +26,6 @@
 const (
 	// startWait is how long an entry without configuration is taken to need.
 	startWait = 500 * time.Millisecond
-	// roomWait is when a server is likely to have room again: a request's work.
-	roomWait = 300 * time.Millisecond
 	// soonWait is for requests that a server turned away although it had room, or
 	// that met a server that is gone: another try may go well at once.
 	soonWait = 20 * time.Millisecond
@@ -44,7 +43,7 @@
 // refusalOf is the entry's answer to a request that ended without a server's.
 func refusalOf(reason outcome.Reason, ran bool) refusal {
 	if !ran {
-		wait := roomWait
+		wait := placement.ComeBack(rand.Float64())
 		switch reason {
 		case outcome.ReasonShed, outcome.ReasonReplaced, outcome.ReasonConnect:
 			wait = soonWait
--- a/entry/placement/placement.go
+++ b/entry/placement/placement.go
@@ -442,7 +442,22 @@
 	lateLoadFull   = 0.7
 	// returningLoad is how much more it may be for a caller that was refused
 	// before: it has no other try.
-	returningLoad = 0.3
+	returningLoad = 0.5
+)
+
+// ComeBack is when a caller that found no room should come again: after about
+// the work of one request, and apart from others that are sent away now, by a
+// draw from [0, 1).
+func ComeBack(draw float64) time.Duration {
+	return comeBackFirst + time.Duration(draw*float64(comeBackSpread))
+}
+
+const (
+	// comeBackFirst is about the time in which a warm server ends a request.
+	comeBackFirst = 300 * time.Millisecond
+	// comeBackSpread is the time over which callers that were sent away together
+	// return: some requests' work, and less than what they are ready to wait.
+	comeBackSpread = 600 * time.Millisecond
 )
 
 // admitsCold reports whether a server is not cold, or this entry may send it a
