--- a/entry/gate.go
+++ b/entry/gate.go
@@ -292,8 +292,10 @@
 	// keep a look-up's answer for its time, three times as long at most, have
 	// left by then, and there is time for the requests in flight.
 	lameDuck = 3 * time.Second
-	// exitMargin is how long before SIGKILL the process exits by itself.
-	exitMargin = 300 * time.Millisecond
+	// exitMargin is how long before SIGKILL the process begins to exit by itself: a
+	// slow VM needs some of it, and the platform asks for no answer in the last
+	// sixth of the grace.
+	exitMargin = 600 * time.Millisecond
 	// sweepInterval is the time between two closings of expired connections.
 	sweepInterval = 2 * time.Second
 	// reloadInterval is the time between two looks at the settings file.
