--- a/standin/gate/fleet_test.go
+++ b/standin/gate/fleet_test.go
@@ -278,7 +278,17 @@
 		if address != "" {
 			f.ask(client, address, fmt.Sprintf("c%d-%d", seed, number), random)
 		}
-		time.Sleep(time.Duration(random.IntN(int(40 * time.Millisecond))))
+		pause(ctx, time.Duration(random.IntN(int(40*time.Millisecond))))
+	}
+}
+
+// pause waits for a time or until ctx is done.
+func pause(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
 	}
 }
 
@@ -367,13 +377,20 @@
 	f.t.Logf("asked %d, served %d, refused %d", f.asked.Load(), f.served.Load(), len(f.refused))
 }
 
-// serves waits until nearly all of some more requests are served.
+// serves waits until nearly all of some requests in a row are served.
 func (f *fleet) serves() {
 	f.t.Helper()
+	asked, served := f.asked.Load(), f.served.Load()
 	f.eventually("requests are served", func() bool {
-		asked, served := f.asked.Load(), f.served.Load()
-		time.Sleep(500 * time.Millisecond)
 		more := f.asked.Load() - asked
-		return more > 20 && float64(f.served.Load()-served) >= 0.9*float64(more)
+		if more < enough {
+			return false
+		}
+		good := float64(f.served.Load()-served) >= 0.9*float64(more)
+		asked, served = f.asked.Load(), f.served.Load()
+		return good
 	})
 }
+
+// enough is how many requests say whether a fleet serves.
+const enough = 60
--- a/standin/gate/path_test.go
+++ b/standin/gate/path_test.go
@@ -47,7 +47,8 @@
 	f.underLoad(callers, func() {
 		f.serves()
 		f.servers[0].Drain()
-		time.Sleep(drainBound + time.Second)
+		left := time.Now()
+		f.eventually("the bound has passed", func() bool { return time.Since(left) > drainBound+time.Second })
 		f.servers[0].Leave()
 		f.servers[0].Crash()
 		// Another service gets the address of a server that falls silent.
--- a/standin/gate/soak_test.go
+++ b/standin/gate/soak_test.go
@@ -152,7 +152,7 @@
 		name, heal := all[at](f, random)
 		f.t.Logf("strike: %s", name)
 		heals = append(heals, heal)
-		time.Sleep(time.Duration(random.IntN(int(600 * time.Millisecond))))
+		pause(f.t.Context(), time.Duration(random.IntN(int(600*time.Millisecond))))
 		if random.IntN(2) == 0 || n == len(order)-1 {
 			for _, heal := range heals {
 				heal()
