--- a/entry/presence/presence.go
+++ b/entry/presence/presence.go
@@ -55,23 +55,37 @@
 	version uint64
 	// heard is when its last datagram came, zero if none did.
 	heard time.Time
-	up    bool
+	// sent is when the last datagram went there, interval the time between two.
+	sent     time.Time
+	interval time.Duration
+	up       bool
+}
+
+// silent reports whether a peer has not been heard for too long.
+func (m *member) silent(now time.Time) bool {
+	return now.Sub(m.heard) >= max(silence, silentIntervals*m.interval)
 }
 
 const (
 	// table holds one row for each entry.
 	table = "entries"
-	// minInterval and maxInterval bound the time between two datagrams to each
-	// peer; peerInterval is what each peer adds to it, so that an entry gets 125
-	// datagrams a second at most while the bounds allow.
-	minInterval  = 200 * time.Millisecond
-	peerInterval = 8 * time.Millisecond
-	maxInterval  = time.Second
-	// silence is how long an entry may be silent before callers are no longer
-	// sent there: three datagrams in a row lost or late at the longest interval,
-	// and less than the time that the platform gives the directory to forget a
-	// dead one.
-	silence = 3500 * time.Millisecond
+	// minInterval is the time between two datagrams to one peer in a small fleet.
+	minInterval = 200 * time.Millisecond
+	// nearInterval and farInterval are what each peer in the own region, and each in
+	// others, adds to the time between two datagrams to all of them: an entry sends
+	// 125 and 40 a second at most while the bounds below allow. Bytes between
+	// regions cost most, and callers are sent to other regions last.
+	nearInterval = 8 * time.Millisecond
+	farInterval  = 25 * time.Millisecond
+	// nearMost and farMost bound that time.
+	nearMost = time.Second
+	farMost  = 5 * time.Second
+	// silence is how long a peer may be silent before callers are no longer sent
+	// there: three datagrams in a row lost or late at the longest interval in a
+	// region, and less than the time that the platform gives the directory to forget
+	// a dead one. For peers that are told less often it is silentIntervals of theirs.
+	silence         = 3500 * time.Millisecond
+	silentIntervals = 3
 	// listFirst and listMost bound the time between two readings of the rows; it
 	// doubles while nothing fails.
 	listFirst = 1500 * time.Millisecond
@@ -93,8 +107,8 @@
 	group.Go(func() { r.receive(conn) })
 	group.Go(func() { r.list(ctx) })
 	for ctx.Err() == nil {
-		r.Tell()
-		sleep(ctx, r.interval())
+		r.tell(false)
+		sleep(ctx, minInterval)
 	}
 	if err := conn.Close(); err != nil {
 		r.Logger.Warn().Str("event", "peers-unclosed").Err(err).Msg("")
@@ -102,10 +116,18 @@
 	group.Wait()
 }
 
-func (r *Roster) interval() time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return min(maxInterval, max(minInterval, time.Duration(len(r.members))*peerInterval))
+// intervals returns the time between two datagrams to a peer of the own region
+// and to one of another. The caller holds the lock.
+func (r *Roster) intervals(region string) (near, far time.Duration) {
+	peers := 0
+	for _, each := range r.members {
+		if each.Region == region {
+			peers++
+		}
+	}
+	near = time.Duration(peers) * nearInterval
+	far = time.Duration(len(r.members)-peers) * farInterval
+	return min(nearMost, max(minInterval, near)), min(farMost, max(minInterval, far))
 }
 
 // sleep waits for a time or until ctx is done.
@@ -119,18 +141,30 @@
 }
 
 // Tell sends what this entry knows to all peers at once.
-func (r *Roster) Tell() {
+func (r *Roster) Tell() { r.tell(true) }
+
+// tell sends what this entry knows to the peers whose turn it is, or to all.
+func (r *Roster) tell(all bool) {
 	content, err := r.message()
 	if err != nil {
 		r.Logger.Error().Str("event", "presence-unsent").Err(err).Msg("")
 		return
 	}
+	region := r.Self().Region
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
+	near, far := r.intervals(region)
 	for _, each := range r.members {
+		each.interval = far
+		if each.Region == region {
+			each.interval = near
+		}
 		r.judge(each, now)
-		r.send(each, content)
+		if all || now.Sub(each.sent) >= each.interval-minInterval/2 {
+			each.sent = now
+			r.send(each, content)
+		}
 	}
 }
 
@@ -174,7 +208,7 @@
 // judge notes changes of belief about an entry. The caller holds the lock.
 func (r *Roster) judge(each *member, now time.Time) {
 	age := now.Sub(each.heard)
-	if up := age < silence; up != each.up {
+	if up := !each.silent(now); up != each.up {
 		each.up = up
 		event := "entry-lost"
 		if up {
@@ -259,7 +293,7 @@
 	now := time.Now()
 	for _, name := range slices.Sorted(maps.Keys(r.members)) {
 		each := r.members[name]
-		if each.Serving && now.Sub(each.heard) < silence {
+		if each.Serving && !each.silent(now) {
 			serving = append(serving, each.Member)
 		}
 	}
--- a/entry/presence/rows.go
+++ b/entry/presence/rows.go
@@ -76,7 +76,7 @@
 			continue
 		}
 		known := r.members[row.Key]
-		if row.Key == self || known != nil && (known.version >= row.Version || now.Sub(known.heard) < silence) {
+		if row.Key == self || known != nil && (known.version >= row.Version || !known.silent(now)) {
 			continue
 		}
 		r.members[row.Key] = &member{
--- a/standin/gate/soak_test.go
+++ b/standin/gate/soak_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"os/exec"
 	"strconv"
 	"strings"
 	"syscall"
@@ -39,19 +40,15 @@
 var all = []strike{
 	func(f *fleet, random *rand.Rand) (string, func()) {
 		i := random.IntN(len(f.entries))
+		struck := f.entries[i].command
 		f.signal(i, syscall.SIGKILL)
-		return fmt.Sprintf("kill entry %d", i), func() {
-			_ = f.wait(i)
-			f.startEntry(i)
-		}
+		return fmt.Sprintf("kill entry %d", i), func() { f.restart(i, struck) }
 	},
 	func(f *fleet, random *rand.Rand) (string, func()) {
 		i := random.IntN(len(f.entries))
+		struck := f.entries[i].command
 		f.signal(i, syscall.SIGTERM)
-		return fmt.Sprintf("stop entry %d", i), func() {
-			_ = f.wait(i)
-			f.startEntry(i)
-		}
+		return fmt.Sprintf("stop entry %d", i), func() { f.restart(i, struck) }
 	},
 	func(f *fleet, random *rand.Rand) (string, func()) {
 		i := random.IntN(len(f.entries))
@@ -135,6 +132,16 @@
 	},
 }
 
+// restart starts an entry again once the process that was struck has ended,
+// unless another strike has done so.
+func (f *fleet) restart(i int, struck *exec.Cmd) {
+	// How it ended is judged by what callers saw.
+	_ = struck.Wait()
+	if f.entries[i].command == struck {
+		f.startEntry(i)
+	}
+}
+
 // TestSoak lets drawn faults strike, in series and overlapping, while callers
 // keep their connections. A seed gives one schedule.
 func TestSoak(t *testing.T) {
