--- a/entry/gate.go
+++ b/entry/gate.go
@@ -58,6 +58,9 @@
 	// breakLimit is how many servers a request may break before it is refused: the
 	// platform bounds what follows the third.
 	breakLimit = 3
+	// suspectNews is how long peers are told of a request that broke a server: some
+	// datagrams, more than half of which may be lost.
+	suspectNews = 5 * time.Second
 	// homeWeight and uploadHomeWeight say how many times a server of the entry's
 	// own region counts in placement.
 	homeWeight       = 1.5
@@ -134,7 +137,7 @@
 // tell adds what this entry knows to a message for its peers.
 func (g *gate) tell(message *teaselv1.Presence) {
 	g.fleet.Fill(message)
-	message.Suspects = g.suspects.News()
+	message.Suspects = g.suspects.Fresh(suspectNews)
 }
 
 // learn takes over what a peer told.
--- a/entry/presence/presence.go
+++ b/entry/presence/presence.go
@@ -46,7 +46,9 @@
 
 	mu      sync.Mutex
 	members map[string]*member
-	conn    net.PacketConn
+	// introduced is when this entry last told where it is.
+	introduced time.Time
+	conn       net.PacketConn
 }
 
 type member struct {
@@ -77,6 +79,9 @@
 	// regions cost most, and callers are sent to other regions last.
 	nearInterval = 8 * time.Millisecond
 	farInterval  = 25 * time.Millisecond
+	// introduceInterval is the time between two datagrams that say where this entry
+	// is; its row says it too, which is read twice as seldom.
+	introduceInterval = 6 * time.Second
 	// nearMost and farMost bound that time.
 	nearMost = time.Second
 	farMost  = 5 * time.Second
@@ -145,7 +150,8 @@
 
 // tell sends what this entry knows to the peers whose turn it is, or to all.
 func (r *Roster) tell(all bool) {
-	content, err := r.message()
+	introduce := r.introduces(all)
+	content, err := r.message(introduce)
 	if err != nil {
 		r.Logger.Error().Str("event", "presence-unsent").Err(err).Msg("")
 		return
@@ -161,13 +167,25 @@
 			each.interval = near
 		}
 		r.judge(each, now)
-		if all || now.Sub(each.sent) >= each.interval-minInterval/2 {
+		if introduce || now.Sub(each.sent) >= each.interval-minInterval/2 {
 			each.sent = now
 			r.send(each, content)
 		}
 	}
 }
 
+// introduces reports whether the next datagrams say where this entry is.
+func (r *Roster) introduces(all bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	if !all && now.Sub(r.introduced) < introduceInterval {
+		return false
+	}
+	r.introduced = now
+	return true
+}
+
 // send sends a datagram. One that can't be sent is like one that is lost.
 func (r *Roster) send(to *member, content []byte) {
 	address, err := netip.ParseAddrPort(to.Peers)
@@ -177,16 +195,19 @@
 	_, _ = r.conn.WriteTo(content, net.UDPAddrFromAddrPort(address))
 }
 
-// message returns the datagram for all peers. What does not fit is left out.
-func (r *Roster) message() ([]byte, error) {
+// message returns the datagram for all peers. One that introduces says where this
+// entry is, too. What does not fit is left out.
+func (r *Roster) message(introduce bool) ([]byte, error) {
 	self := r.Self()
 	told := &teaselv1.Presence{
-		Name:          self.Name,
-		Region:        self.Region,
-		FailureDomain: self.Domain,
-		Callers:       self.Callers,
-		Peers:         self.Peers,
-		Serving:       self.Serving,
+		Name:    self.Name,
+		Serving: self.Serving,
+	}
+	if introduce {
+		told.Region = self.Region
+		told.FailureDomain = self.Domain
+		told.Callers = self.Callers
+		told.Peers = self.Peers
 	}
 	if r.Fill != nil {
 		r.Fill(told)
@@ -245,11 +266,19 @@
 	}
 	r.mu.Lock()
 	known := r.members[told.GetName()]
+	if known == nil && told.GetPeers() == "" {
+		// Where the sender is, its row or a later datagram will say.
+		r.mu.Unlock()
+		return
+	}
 	if known == nil {
 		known = &member{}
 		r.members[told.GetName()] = known
 	}
-	known.Member = memberOf(told)
+	if told.GetPeers() != "" {
+		known.Member = memberOf(told)
+	}
+	known.Serving = told.GetServing()
 	known.heard = time.Now()
 	r.judge(known, known.heard)
 	r.mu.Unlock()
--- a/entry/quarantine/part.go
+++ b/entry/quarantine/part.go
@@ -29,7 +29,10 @@
 
 // News returns suspects for a peer. Times go as ages, since the entries' clocks
 // may differ.
-func (l *List) News() []*teaselv1.Suspect {
+func (l *List) News() []*teaselv1.Suspect { return l.Fresh(Lifetime) }
+
+// Fresh returns suspects for a peer that broke a backend server within a time.
+func (l *List) Fresh(age time.Duration) []*teaselv1.Suspect {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
@@ -42,6 +45,9 @@
 			delete(l.suspects, digest)
 			continue
 		}
+		if now.Sub(known.last()) > age {
+			continue
+		}
 		news = append(news, known.message(digest, now))
 	}
 	return news
