Calls that the store lost are given up in time

Cause: an entry that started while the store was silent read a table in full with the time-out of a held call, 11.5 s; the store was back after 1.5 s, dropped nothing and never answered that call, and a configuration was missed meanwhile. Held calls had the same gap. Both are given up within the window after which the entry counts as undisturbed.

--- a/entry/gate.go
+++ b/entry/gate.go
@@ -99,6 +99,7 @@
 		Servers:    g.newStore(),
 		Regions:    settings.Domains,
 		Interval:   time.Duration(registrationShare * float64(settings.Bounds.Drain)),
+		Lag:        settings.Bounds.Touch,
 		Configured: g.fleet.Configure,
 		Evacuate:   g.fleet.Evacuate,
 		Update:     g.fleet.Update,
--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -25,6 +25,9 @@
 	Regions map[string]string
 	// Interval is the time between two readings of the servers' changes.
 	Interval time.Duration
+	// Lag is how long after an outage of the store its news may be missed: a call
+	// that the store lost is given up by then.
+	Lag time.Duration
 	// Configured, Evacuate, Update and Remove take news over.
 	Configured func(*routing.Configuration)
 	Evacuate   func(domains map[string]bool)
@@ -59,9 +62,9 @@
 const (
 	// callTimeout bounds a call to the store beside what it is asked to wait.
 	callTimeout = 1500 * time.Millisecond
-	// feedWait is how long the store holds a call for changes. It answers at once
-	// when there is one.
-	feedWait = 10 * time.Second
+	// minWait is the least time for which the store is asked to hold a call for
+	// changes; it answers at once when there is one.
+	minWait = time.Second
 	// retryFirst and retryMost bound the pause after a failed call.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 300 * time.Millisecond
@@ -105,7 +108,7 @@
 	return feed{
 		store:   r.Operators,
 		table:   platform.OperatorTable,
-		wait:    feedWait,
+		wait:    r.wait(),
 		replace: r.replaceOperators,
 		change:  r.changeOperators,
 	}
@@ -115,13 +118,17 @@
 	return feed{
 		store:   r.Servers,
 		table:   platform.ServerTable,
-		wait:    feedWait,
+		wait:    r.wait(),
 		pause:   r.Interval,
 		replace: r.replaceServers,
 		change:  r.changeServers,
 	}
 }
 
+// wait is how long the store holds a call: together with the time for its answer
+// it is no longer than the lag allowed.
+func (r *Registry) wait() time.Duration { return max(minWait, r.Lag-callTimeout) }
+
 // follow reads a table in full and then its changes, until ctx is done.
 func (r *Registry) follow(ctx context.Context, each feed) {
 	version := uint64(0)
@@ -151,7 +158,11 @@
 
 // step makes one call for a table.
 func (r *Registry) step(ctx context.Context, each feed, version uint64, known bool) (uint64, bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, each.wait+callTimeout)
+	limit := callTimeout
+	if known {
+		limit += each.wait
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	if !known {
 		all, err := each.store.Read(ctx, each.table)
@@ -185,7 +196,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.lapsed) == 0 {
-		return feedWait
+		return r.wait()
 	}
 	return max(0, lapseGrace-time.Since(r.regained))
 }
--- a/entry/registry/registry_test.go
+++ b/entry/registry/registry_test.go
@@ -86,6 +86,7 @@
 			"north-a": "north",
 		},
 		Interval:   time.Second,
+		Lag:        3 * time.Second,
 		Configured: func(*routing.Configuration) {},
 		Evacuate:   f.setEvacuated,
 		Update:     f.update,
@@ -297,6 +298,32 @@
 	})
 }
 
+// TestCallsLostInAnOutage: calls that the store drops during an outage are given up
+// in time for what changes after it, at the start and later.
+func TestCallsLostInAnOutage(t *testing.T) {
+	for _, known := range []bool{false, true} {
+		follow(t, func(t *testing.T, f *follower) {
+			f.configure(1)
+			if known {
+				f.run()
+				time.Sleep(100 * time.Millisecond)
+			}
+			f.store.SetFault(store.Fault{
+				Outage: store.Drop,
+			})
+			if !known {
+				f.run()
+			}
+			time.Sleep(12 * time.Second)
+			f.store.SetFault(store.Fault{})
+			time.Sleep(3 * time.Second)
+			f.configure(2)
+			time.Sleep(100 * time.Millisecond)
+			assert.Equal(t, f.version(), uint64(2))
+		})
+	}
+}
+
 // TestStartTurnedAway: an entry that starts while the store turns it away takes
 // over what another has read, and the store's word once it answers.
 func TestStartTurnedAway(t *testing.T) {
--- a/standin/store/fault.go
+++ b/standin/store/fault.go
@@ -25,6 +25,8 @@
 	Refuse Outage = "refuse"
 	// Hang answers no call until the outage is over.
 	Hang Outage = "hang"
+	// Drop never answers a call that comes during the outage.
+	Drop Outage = "drop"
 )
 
 // Fault is what is wrong with the platform. The zero value is a sound one.
@@ -140,6 +142,10 @@
 		if fault.Outage == Refuse || slices.Contains(fault.TurnedAway, caller) {
 			return http.StatusServiceUnavailable, nil
 		}
+		if fault.Outage == Drop {
+			<-ctx.Done()
+			return 0, ctx.Err()
+		}
 		if fault.Outage == NoOutage {
 			return http.StatusOK, wait(ctx, time.Duration(fault.Delay))
 		}
