membership: entries tell again whom they hear after they compared digests

Cause: a comparison of digests acknowledges all changes up to the present revision, but digests do not say which members an entry hears. Two entries that met first with equal records never told each other, so that a peer cut off from one of them was taken for dead instead of cut.

--- a/entry/membership/exchange.go
+++ b/entry/membership/exchange.go
@@ -124,6 +124,10 @@
 	if len(request.GetDigests()) > 0 {
 		own := r.digests(len(request.GetDigests()))
 		link.pending = r.differing(news.GetDigests(), own)
+		if r.meshed() {
+			// Digests don't tell which members this entry hears.
+			link.pending = r.names()
+		}
 		link.acknowledged = r.revision
 	} else {
 		link.acknowledged = news.GetAbsorbed()
@@ -186,6 +190,13 @@
 	}
 }
 
+// names returns the names of all members. The caller holds the lock.
+func (r *Roster) names() []string {
+	names := make([]string, 0, len(r.peers)+1)
+	r.each(func(member *teaselv1.Member, _ bool) { names = append(names, member.GetName()) })
+	return names
+}
+
 func bucketOf(name string, buckets int) int {
 	return int(xxhash.Sum64String(name) % uint64(buckets))
 }
