Lines on a request are written when the decision is taken

Lines on lost tries had the level of successes and were dropped with them. Ages of registrations and what is left of the retry budget were missing. Now: sent (inputs), answered, lost (outcome, inputs, whether it is sent again), refused; the last two outlast others. Found on the way: a failure of the only server that a repeatable request can go to was replaced by a 502 of our own (TestFailureOfTheOnlyServer failed with 502); it is kept until another server does better.

--- a/entry/gate.go
+++ b/entry/gate.go
@@ -122,9 +122,12 @@
 			Entries: g.entries,
 		},
 		Quarantine: &g.suspects,
-		Closing:    g.leaving.Load,
-		Logger:     logger,
-		Metrics:    g.metrics,
+		RegistrationsAge: func() (age time.Duration, known bool) {
+			return g.registry.Age(platform.ServerTable)
+		},
+		Closing: g.leaving.Load,
+		Logger:  logger,
+		Metrics: g.metrics,
 	}
 	g.registerGauges()
 	return g
--- a/entry/gateway/budget.go
+++ b/entry/gateway/budget.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -47,16 +49,35 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	used := b.usage(service)
+	if b.left(used, returning) < 1 {
+		return false
+	}
+	used.repeats = append(used.repeats, time.Now())
+	return true
+}
+
+// Left returns how many repeats a service has left now.
+func (b *Budget) Left(service string, returning bool) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return max(0, int(b.left(b.usage(service), returning)))
+}
+
+// left returns the repeats left. The caller holds the lock.
+func (b *Budget) left(used *usage, returning bool) float64 {
 	ratio, slack, _ := b.Bounds()
 	allowed := budgetShare * (ratio*float64(len(used.requests)) + slack/float64(max(1, b.Entries())))
 	if !returning {
 		allowed *= firstShare
 	}
-	if float64(len(used.repeats)+1) > allowed {
-		return false
-	}
-	used.repeats = append(used.repeats, time.Now())
-	return true
+	return allowed - float64(len(used.repeats))
+}
+
+// Services returns the names of the services with requests or repeats.
+func (b *Budget) Services() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Sorted(maps.Keys(b.services))
 }
 
 // usage returns a service's counts of the last window. The caller holds the
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -34,6 +34,9 @@
 	Pool          *upstream.Pool
 	Budget        *Budget
 	Quarantine    *quarantine.List
+	// RegistrationsAge returns how long ago the store last told of registrations,
+	// and whether it ever did.
+	RegistrationsAge func() (age time.Duration, known bool)
 	// Closing reports whether connections are to be closed after their answers.
 	Closing func() bool
 	Logger  *log.Logger
@@ -76,6 +79,9 @@
 	mayHaveRun bool
 	// reason is why the last try gave no answer.
 	reason outcome.Reason
+	// spare is a server's failure that the caller gets unless another server does
+	// better.
+	spare *attempt
 	// last is the placement that refused the request, if one did.
 	last *placement.Choice
 }
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -24,6 +24,13 @@
 	})
 }
 
+// breakFirst runs each request and breaks the connection of the first one.
+func breakFirst(s *site, server string, conn net.Conn, request *http.Request) bool {
+	s.run(request)
+	time.Sleep(100 * time.Millisecond)
+	return s.arrivals() > 1 && answerGood(s, server, conn, request)
+}
+
 func TestAnswerIsTheServersOwn(t *testing.T) {
 	serve(t, answerGood, []string{"a", "b"}, func(t *testing.T, s *site) {
 		answer, cut := s.ask(newRequest(http.MethodPost, "/book/1?seat=2", "r1", "offer"))
@@ -336,3 +343,28 @@
 		assert.Equal(t, answer.Header().Get("Connection"), "close")
 	})
 }
+
+// TestFailureOfTheOnlyServer: a server's failure that no other server can mend is
+// the caller's answer, with the server's stamp and status.
+func TestFailureOfTheOnlyServer(t *testing.T) {
+	fail := func(s *site, _ string, conn net.Conn, request *http.Request) bool {
+		s.run(request)
+		_, err := io.WriteString(conn, strings.Replace(good(request, "whole"), "200 OK", "500 Internal Server Error", 1))
+		return err == nil
+	}
+	for _, servers := range [][]string{{"a"}, {"a", "dead-b"}} {
+		serve(t, fail, servers, func(t *testing.T, s *site) {
+			for range 4 {
+				answer, cut := s.ask(newRequest(http.MethodGet, "/browse/1", "r1", ""))
+				assert.Assert(t, !cut)
+				if answer.Code == http.StatusServiceUnavailable {
+					continue
+				}
+				assert.Equal(t, answer.Code, http.StatusInternalServerError)
+				assert.Equal(t, answer.Header().Get(names.Stamp), "sound")
+				assert.Equal(t, answer.Body.String(), "whole")
+			}
+			assert.Assert(t, s.arrivals() > 0)
+		})
+	}
+}
--- a/entry/gateway/harness_test.go
+++ b/entry/gateway/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -46,6 +47,8 @@
 	got map[string][]*http.Request
 	// ran counts the runs by request ID.
 	ran map[string]int
+	// lines is what the gateway logged.
+	lines bytes.Buffer
 	// conns are the servers' ends of all connections.
 	conns []net.Conn
 }
@@ -95,10 +98,15 @@
 		Quarantine: &quarantine.List{
 			Limit: 3,
 		},
+		RegistrationsAge: func() (age time.Duration, known bool) {
+			return 40 * time.Millisecond, true
+		},
 		Closing: func() bool { return false },
 		Logger: &log.Logger{
-			Level:  log.InfoLevel,
-			Writer: log.IOWriter{Writer: io.Discard},
+			Level:      log.InfoLevel,
+			TimeField:  "time",
+			TimeFormat: "05.000",
+			Writer:     log.IOWriter{Writer: &s.lines},
 		},
 		Metrics: metrics.NewRegistry(),
 	}
--- a/entry/gateway/refusal.go
+++ b/entry/gateway/refusal.go
@@ -7,7 +7,6 @@
 	"strconv"
 	"time"
 
-	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/teaselstack/teaselstack/entry/placement"
@@ -75,7 +74,7 @@
 	// A caller that has left needs no answer.
 	_, _ = io.WriteString(w, string(no.reason)+"\n")
 	g.count(req, no.status)
-	g.log(req, "refused", req.last).Int("status", no.status).Str("reason", string(no.reason)).
+	g.decision(g.lost(req, "refused"), req, req.last).Int("status", no.status).Str("reason", string(no.reason)).
 		Int64("retry-after-ms", no.wait.Milliseconds()).
 		Int64("total-ms", time.Since(req.arrived).Milliseconds()).Msg("")
 }
@@ -90,36 +89,34 @@
 		return
 	}
 	if _, err := io.Copy(w, answer.Rest); err != nil {
-		g.log(req, "broken-off", nil).Str("failure", err.Error()).Msg("")
+		g.lost(req, "broken-off").Str("failure", err.Error()).
+			Int64("total-ms", time.Since(req.arrived).Milliseconds()).Msg("")
 		panic(http.ErrAbortHandler)
 	}
 }
 
-// log begins a line on a request.
-func (g *Gateway) log(req *request, event string, choice *placement.Choice) *log.Entry {
-	line := g.Logger.Info().Str("event", event).Str("id", req.id).Uint64("version", req.version)
-	if req.route != nil {
-		line = line.Str("route", req.route.Name).Str("service", req.service).Uint64("object", req.object>>40).Int("sends", req.sends)
-	}
-	if choice != nil {
-		line = line.Str("server", choice.Server.ID).Int("rank", choice.Rank).
-			Float64("load", float64(int(choice.Load*10))/10).Int64("load-age-ms", choice.Age.Milliseconds()).
-			Int64("expected-ms", choice.Expected.Milliseconds()).Float64("congestion", float64(int(choice.Congestion*100))/100)
-	}
-	return line
-}
-
 // count counts an answer by service, kind and status.
 func (g *Gateway) count(req *request, status int) {
 	name := "requests.none." + strconv.Itoa(status)
 	if req.route != nil {
 		name = "requests." + req.service + "." + req.route.Kind.String() + "." + strconv.Itoa(status)
-		metrics.GetOrRegisterHistogram("latency-ms."+req.service+"."+req.route.Kind.String(), g.Metrics, metrics.NewUniformSample(latencySamples)).
+		metrics.GetOrRegisterHistogram("latency-ms."+req.service+"."+req.route.Kind.String()+"."+outcomeOf(status), g.Metrics, metrics.NewUniformSample(latencySamples)).
 			Update(time.Since(req.arrived).Milliseconds())
 	}
 	metrics.GetOrRegisterCounter(name, g.Metrics).Inc(1)
 }
 
+// outcomeOf tells what an answer with a status is to its caller.
+func outcomeOf(status int) string {
+	switch {
+	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+		return "refused"
+	case status >= http.StatusBadRequest:
+		return "failed"
+	}
+	return "served"
+}
+
 // latencySamples is how many latencies a histogram keeps, 8 bytes each.
 const latencySamples = 256
 
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/teaselstack/teaselstack/entry/placement"
 	"github.com/teaselstack/teaselstack/entry/upstream"
 	"github.com/teaselstack/teaselstack/header"
@@ -25,6 +27,10 @@
 	maxUnconnected = 4
 )
 
+// errQuarantined is the failure of a send that was held back because requests
+// like it have broken servers.
+var errQuarantined = errors.New("request is quarantined")
+
 // attempt is what one send to a server came to.
 type attempt struct {
 	choice  placement.Choice
@@ -34,12 +40,15 @@
 	// ran says that the request may have run.
 	ran    bool
 	reason outcome.Reason
+	// took is how long the server's answer took.
+	took time.Duration
 }
 
 // run sends a request until it has an answer to give.
 func (g *Gateway) run(ctx context.Context, w http.ResponseWriter, req *request) {
 	req.returning = g.returning(req)
 	req.reason = outcome.ReasonNoRoom
+	defer req.drop()
 	for again := true; again; {
 		if reason := g.ended(ctx, req); reason != "" {
 			req.reason = reason
@@ -98,7 +107,9 @@
 	if result.failure != nil && result.failure.Unconnected {
 		req.reason = outcome.ReasonConnect
 		req.unconnected++
-		return false, req.unconnected < maxUnconnected
+		again = req.unconnected < maxUnconnected
+		g.logLost(req, result, again)
+		return false, again
 	}
 	req.sends++
 	req.mayHaveRun = req.mayHaveRun || result.ran
@@ -108,23 +119,42 @@
 	}
 	req.reason = result.reason
 	again = g.mayRepeat(req, result)
-	if result.answer == nil {
-		return false, again
-	}
-	if !again && result.ran {
+	if !again && result.answer != nil && result.ran {
 		g.deliver(w, req, result)
 		return true, false
 	}
-	result.answer.Finish()
+	g.logLost(req, result, again)
+	switch {
+	case result.answer == nil:
+	case result.reason == outcome.ReasonServerFailed:
+		req.drop()
+		req.spare = result
+	default:
+		result.answer.Finish()
+	}
 	return false, again
 }
 
+// drop lets go of the answer that was kept in case no better one comes.
+func (r *request) drop() {
+	if r.spare != nil {
+		r.spare.answer.Finish()
+		r.spare = nil
+	}
+}
+
 // giveUp ends a request without a server's answer.
 func (g *Gateway) giveUp(ctx context.Context, w http.ResponseWriter, req *request) {
 	if ctx.Err() != nil && req.incoming.Context().Err() != nil {
-		g.log(req, "caller-left", nil).Str("reason", string(req.reason)).Msg("")
+		g.decision(g.lost(req, "caller-left"), req, nil).Str("reason", string(req.reason)).
+			Int64("total-ms", time.Since(req.arrived).Milliseconds()).Msg("")
 		panic(http.ErrAbortHandler)
 	}
+	if spare := req.spare; spare != nil {
+		req.spare = nil
+		g.deliver(w, req, spare)
+		return
+	}
 	if err := req.body.failure(); err != nil {
 		g.refuse(w, req, *bodyRefusal(err))
 		return
@@ -143,11 +173,13 @@
 		g.Fleet.Done(&choice, placement.SignNone, nil, 0)
 		result.reason = outcome.ReasonQuarantined
 		result.failure = &upstream.Failure{
+			Err:         errQuarantined,
 			Unconnected: true,
 		}
 		return result
 	}
 	defer leave()
+	g.decision(g.line(req, "sent"), req, &choice).Msg("")
 	result.answer, result.failure = g.Pool.Exchange(ctx, &choice.Server, g.outgoing(req, &choice.Server), req.id)
 	var report *placement.Report
 	if result.answer != nil {
@@ -161,16 +193,23 @@
 		g.Fleet.Connected(choice.Server.Region, result.answer.Connected)
 		took -= result.answer.Connected
 	}
+	result.took = took
 	g.Fleet.Done(&choice, result.sign, report, took)
-	line := g.log(req, "sent", &choice).Int64("took-ms", took.Milliseconds())
+	return result
+}
+
+// logLost logs a send whose answer the caller does not get, and whether the
+// request is sent again.
+func (g *Gateway) logLost(req *request, result *attempt, again bool) {
+	line := g.decision(g.lost(req, "lost"), req, &result.choice).Int64("took-ms", result.took.Milliseconds())
 	if result.answer != nil {
 		line = line.Int("status", result.answer.StatusCode)
 	}
 	if result.failure != nil {
 		line = line.Str("failure", result.failure.Error()).Bool("reused", result.failure.Reused)
 	}
-	line.Str("reason", string(result.reason)).Msg("")
-	return result
+	line.Str("reason", string(result.reason)).Bool("again", again).
+		Int("repeats-left", g.Budget.Left(req.service, req.returning)).Msg("")
 }
 
 // incarnation names one start of a server: one that broke and came back breaks a
@@ -240,7 +279,11 @@
 		g.Quarantine.Finished(req.digest)
 		return true
 	}
-	return !req.repeatable() || result.answer.StatusCode == http.StatusGatewayTimeout
+	if !req.repeatable() || result.answer.StatusCode == http.StatusGatewayTimeout {
+		return true
+	}
+	result.reason = outcome.ReasonServerFailed
+	return false
 }
 
 // mayRepeat reports whether a request may be sent to another server.
@@ -297,6 +340,12 @@
 	w.WriteHeader(answer.StatusCode)
 	g.copy(w, req, answer)
 	g.count(req, answer.StatusCode)
-	g.log(req, "answered", &result.choice).Int("status", answer.StatusCode).
+	line := g.line(req, "answered")
+	if answer.StatusCode >= http.StatusInternalServerError {
+		line = g.decision(g.lost(req, "answered"), req, &result.choice)
+	} else {
+		line = line.Str("server", result.choice.Server.ID)
+	}
+	line.Int("status", answer.StatusCode).Int("sends", req.sends).Int64("took-ms", result.took.Milliseconds()).
 		Int64("total-ms", time.Since(req.arrived).Milliseconds()).Msg("")
 }
--- a/entry/measures.go
+++ b/entry/measures.go
@@ -12,6 +12,9 @@
 // metricsPort serves the entry's metrics; deploy/system.toml names it.
 const metricsPort = "9464"
 
+// neverAnswered is the age of a table that the store has never told of.
+const neverAnswered = -1
+
 // registerGauges adds what is read only when the metrics are asked for.
 func (g *gate) registerGauges() {
 	register := func(name string, value func() int64) {
@@ -33,7 +36,13 @@
 	})
 	register("log.lines-dropped", g.dropped)
 	for _, table := range g.registry.Tables() {
-		register("store.age-ms."+table, func() int64 { return g.registry.Age(table).Milliseconds() })
+		register("store.age-ms."+table, func() int64 {
+			age, known := g.registry.Age(table)
+			if !known {
+				return neverAnswered
+			}
+			return age.Milliseconds()
+		})
 	}
 }
 
@@ -56,6 +65,12 @@
 			fmt.Fprintf(lines, "%s_count %d\n", name, seen.Count())
 		}
 	})
+	for _, service := range g.gateway.Budget.Services() {
+		fmt.Fprintf(lines, "repeats_left{service=%q} %d\n", service, g.gateway.Budget.Left(service, true))
+	}
+	for _, each := range g.fleet.InFlight() {
+		fmt.Fprintf(lines, "server_in_flight{server=%q,service=%q} %d\n", each.Server, each.Service, each.Requests)
+	}
 	// A reader that has left needs no more lines.
 	_ = lines.Flush()
 }
--- a/entry/placement/cost.go
+++ b/entry/placement/cost.go
@@ -97,11 +97,11 @@
 	// An object that was not warm tells nothing of the server's pace.
 	expected := choice.Expected - f.travel[each.Region]
 	if expected > 0 && (choice.known || took < expected) {
-		ratio := min(paceMost, float64(took)/float64(expected)*choice.pace)
+		ratio := min(paceMost, float64(took)/float64(expected)*choice.Pace)
 		each.pace = each.paceAt(now) + paceStep*(ratio-each.paceAt(now))
 		each.pacedAt = now
 	}
-	if choice.pace < paceNormal {
+	if choice.Pace < paceNormal {
 		known.observe(took)
 	}
 }
--- a/entry/placement/placement.go
+++ b/entry/placement/placement.go
@@ -100,7 +100,9 @@
 // server is one backend server with what this entry has seen of it.
 type server struct {
 	routing.Server
-	hash uint64
+	// registeredAt is when the registration was read.
+	registeredAt time.Time
+	hash         uint64
 	// inFlight counts this entry's own requests there.
 	inFlight int
 	// others is how many requests of other entries the server had at othersAt.
@@ -150,6 +152,12 @@
 	// server's own figure is; 0 if there is none.
 	Load float64
 	Age  time.Duration
+	// RegistrationAge is how long ago the server's registration was read.
+	RegistrationAge time.Duration
+	// Cold says that the server has started lately, Pace how many times longer
+	// than others it takes.
+	Cold bool
+	Pace float64
 	// Congestion is how far the service is from having room, from 0 to 1.
 	Congestion float64
 
@@ -158,7 +166,6 @@
 	// known says that the server had answered for the object lately.
 	known bool
 	work  time.Duration
-	pace  float64
 }
 
 // Refusal says why no server was chosen.
@@ -211,7 +218,6 @@
 	}
 	f.take(ranked[best], now)
 	choice.work = f.workOf(request)
-	choice.pace = ranked[best].paceAt(now)
 	if each := ranked[best]; each.inFlight == 1 || each.waitingSince.IsZero() {
 		each.waitingSince, each.waitingFor = now, patience*bestCost
 	}
@@ -226,9 +232,12 @@
 // describe returns a server with the figures that speak for it.
 func (f *Fleet) describe(each *server, rank int, now time.Time) Choice {
 	choice := Choice{
-		Server: each.Server,
-		Rank:   rank,
-		Load:   f.load(each, now),
+		Server:          each.Server,
+		Rank:            rank,
+		Load:            f.load(each, now),
+		RegistrationAge: now.Sub(each.registeredAt),
+		Cold:            now.Before(each.coldUntil),
+		Pace:            each.paceAt(now),
 	}
 	if !each.othersAt.IsZero() {
 		choice.Age = now.Sub(each.othersAt)
--- a/entry/placement/summary.go
+++ b/entry/placement/summary.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // Summary counts what is known of the servers.
 type Summary struct {
@@ -33,3 +37,28 @@
 	}
 	return sum
 }
+
+// Occupied is a server with how many requests of this entry it runs or holds.
+type Occupied struct {
+	Server   string
+	Service  string
+	Requests int
+}
+
+// InFlight returns the servers that run or hold requests of this entry, in the
+// order of their IDs.
+func (f *Fleet) InFlight() []Occupied {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var occupied []Occupied
+	for _, id := range slices.Sorted(maps.Keys(f.servers)) {
+		if each := f.servers[id]; each.inFlight > 0 {
+			occupied = append(occupied, Occupied{
+				Server:   id,
+				Service:  each.Service,
+				Requests: each.inFlight,
+			})
+		}
+	}
+	return occupied
+}
--- a/entry/placement/update.go
+++ b/entry/placement/update.go
@@ -49,7 +49,7 @@
 		f.servers[news.ID] = known
 	}
 	wasDraining, wasCold := known.Draining, now.Before(known.coldUntil)
-	known.Server = *news
+	known.Server, known.registeredAt = *news, now
 	if news.Cold > 0 {
 		known.coldUntil = now.Add(news.Cold)
 	}
--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -226,16 +226,16 @@
 	return []string{platform.OperatorTable, platform.ServerTable}
 }
 
-// Age returns how long ago the store last answered a call for a table; 0 if it
-// never did.
-func (r *Registry) Age(table string) time.Duration {
+// Age returns how long ago the store last answered a call for a table, and
+// whether it ever did.
+func (r *Registry) Age(table string) (age time.Duration, known bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	at, found := r.answered[table]
-	if !found {
-		return 0
+	at, known := r.answered[table]
+	if !known {
+		return 0, false
 	}
-	return time.Since(at)
+	return time.Since(at), true
 }
 
 // sleep waits for a time or until ctx is done.
--- a/entry/registry/tables.go
+++ b/entry/registry/tables.go
@@ -131,6 +131,7 @@
 			gone[row.Key] = true
 			continue
 		}
+		server.Version = row.Version
 		delete(r.lapsed, row.Key)
 		delete(gone, row.Key)
 		news[row.Key] = server
--- a/logline/buffer.go
+++ b/logline/buffer.go
@@ -35,7 +35,7 @@
 	bufferBytes = 1 << 20
 	plainBytes  = bufferBytes * 3 / 4
 	// flushInterval gathers lines, so that a write carries many.
-	flushInterval = 200 * time.Millisecond
+	flushInterval = 50 * time.Millisecond
 	// closeTimeout bounds the last write.
 	closeTimeout = 200 * time.Millisecond
 )
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -73,6 +73,7 @@
 	ReasonDeadline        Reason = "deadline"
 	ReasonCanceled        Reason = "canceled"
 	ReasonShed            Reason = "shed"
+	ReasonServerFailed    Reason = "server-failed"
 	ReasonNoRoute         Reason = "no-route"
 	ReasonReplaced        Reason = "server-replaced"
 	ReasonConnect         Reason = "connect"
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -169,6 +169,8 @@
 	Born int64
 	// Sequence counts the server's own registrations since its start.
 	Sequence int64
+	// Version is the store's version of the registration.
+	Version uint64
 }
 
 // Incarnation identifies one start of a backend server at one address.
