Callers that full servers turned away come back when there is room

Now: 20 ms only where the servers had room or were replaced and the service has room; otherwise the time in which requests end, spread. Test: TestRetryAfter failed for full servers and for no other server.

--- a/entry/gateway/lines_test.go
+++ b/entry/gateway/lines_test.go
@@ -46,7 +46,7 @@
 			path:    "/book/1",
 			servers: []string{"a", "b"},
 			answer: func(_ *site, _ string, conn net.Conn, request *http.Request) bool {
-				_, err := io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\n"+names.NotExecuted+": 1\r\n"+
+				_, err := io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\n"+names.NotExecuted+": 1\r\n"+names.Load+": 0, 0, 3\r\n"+
 					names.RequestID+": "+request.Header.Get(names.RequestID)+"\r\nContent-Length: 0\r\n\r\n")
 				return err == nil
 			},
--- a/entry/gateway/refusal.go
+++ b/entry/gateway/refusal.go
@@ -25,8 +25,8 @@
 const (
 	// startWait is how long an entry without configuration is taken to need.
 	startWait = 500 * time.Millisecond
-	// soonWait is for requests that a server turned away although it had room, or
-	// that met a server that is gone: another try may go well at once.
+	// soonWait is for requests that servers turned away although they had room, or
+	// that met servers that are gone: another try may go well at once.
 	soonWait = 20 * time.Millisecond
 )
 
@@ -40,23 +40,38 @@
 }
 
 // refusalOf is the entry's answer to a request that ended without a server's.
-func refusalOf(reason outcome.Reason, ran bool) refusal {
-	if !ran {
+func refusalOf(req *request) refusal {
+	if !req.mayHaveRun {
 		wait := placement.ComeBack(rand.Float64())
-		switch reason {
-		case outcome.ReasonShed, outcome.ReasonReplaced, outcome.ReasonConnect:
+		if servedSoon(req.reason) && hasRoom(req.last) {
 			wait = soonWait
 		}
-		return *notRun(reason, wait)
+		return *notRun(req.reason, wait)
 	}
 	status := http.StatusBadGateway
-	if reason == outcome.ReasonDeadline {
+	if req.reason == outcome.ReasonDeadline {
 		status = http.StatusGatewayTimeout
 	}
 	return refusal{
 		status: status,
-		reason: reason,
+		reason: req.reason,
+	}
+}
+
+// hasRoom reports whether a service has room although a request was refused its
+// last placement, if it was: the server that came closest would have been late.
+func hasRoom(last *placement.Choice) bool {
+	return last == nil || last.Server.ID != "" && last.Congestion < 1
+}
+
+// servedSoon reports whether what a request was turned away for does not hold for
+// its next try.
+func servedSoon(reason outcome.Reason) bool {
+	switch reason {
+	case outcome.ReasonShed, outcome.ReasonReplaced, outcome.ReasonConnect:
+		return true
 	}
+	return false
 }
 
 func (g *Gateway) refuse(w http.ResponseWriter, req *request, no refusal) {
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -159,7 +159,7 @@
 		g.refuse(w, req, *bodyRefusal(err))
 		return
 	}
-	g.refuse(w, req, refusalOf(req.reason, req.mayHaveRun))
+	g.refuse(w, req, refusalOf(req))
 }
 
 // send sends a request to a chosen server once and judges what came back.
@@ -184,7 +184,7 @@
 	var report *placement.Report
 	if result.answer != nil {
 		report = parseReport(result.answer.Header.Get(g.Names.Load))
-		g.judgeAnswer(&result)
+		g.judgeAnswer(&result, report)
 	} else {
 		g.judgeFailure(ctx, req, &result)
 	}
@@ -219,16 +219,11 @@
 }
 
 // judgeAnswer tells what an answer says of the request and of its server.
-func (g *Gateway) judgeAnswer(result *attempt) {
+func (g *Gateway) judgeAnswer(result *attempt, report *placement.Report) {
 	answer := result.answer
 	switch {
 	case answer.Header.Get(g.Names.NotExecuted) != "" || answer.StatusCode == http.StatusMisdirectedRequest:
-		result.sign = placement.SignShed
-		result.reason = outcome.ReasonShed
-		if answer.StatusCode == http.StatusMisdirectedRequest {
-			result.sign = placement.SignReplaced
-			result.reason = outcome.ReasonReplaced
-		}
+		result.sign, result.reason = turnedAway(answer.StatusCode, report)
 	case answer.Header.Get("Content-Encoding") != "",
 		answer.Header.Get(g.Names.Stamp) == "" && answer.StatusCode < http.StatusMultipleChoices:
 		result.ran = true
@@ -242,6 +237,17 @@
 	}
 }
 
+// turnedAway tells why a server did not run a request.
+func turnedAway(status int, report *placement.Report) (placement.Sign, outcome.Reason) {
+	switch {
+	case status == http.StatusMisdirectedRequest:
+		return placement.SignReplaced, outcome.ReasonReplaced
+	case report == nil || report.Running >= report.Slots:
+		return placement.SignFull, outcome.ReasonServerFull
+	}
+	return placement.SignShed, outcome.ReasonShed
+}
+
 // judgeFailure tells what a broken exchange says of the request and its server.
 func (g *Gateway) judgeFailure(ctx context.Context, req *request, result *attempt) {
 	failure := result.failure
@@ -321,7 +327,8 @@
 	answer := result.answer
 	defer answer.Finish()
 	if result.reason == outcome.ReasonCrossedAnswer {
-		g.refuse(w, req, refusalOf(result.reason, true))
+		req.reason = result.reason
+		g.refuse(w, req, refusalOf(req))
 		return
 	}
 	head := w.Header()
--- a/entry/placement/model_test.go
+++ b/entry/placement/model_test.go
@@ -104,7 +104,7 @@
 		w.after(way(each.entry.region, server.Region), func() { w.answer(each, placement.SignUnconnected, nil) })
 	case load(server) >= slots+queue || w.random.Float64() < server.shed:
 		report := reportOf(server)
-		w.after(way(each.entry.region, server.Region), func() { w.answer(each, placement.SignShed, report) })
+		w.after(way(each.entry.region, server.Region), func() { w.answer(each, turnedAway(report), report) })
 	case server.running < slots:
 		w.run(server, each)
 	default:
@@ -202,3 +202,11 @@
 	req.returned++
 	w.after(wait+2*callerWay, func() { w.serve(req) })
 }
+
+// turnedAway is what an entry takes a refusal of a server for.
+func turnedAway(report *placement.Report) placement.Sign {
+	if report.Running >= report.Slots {
+		return placement.SignFull
+	}
+	return placement.SignShed
+}
--- a/entry/placement/update.go
+++ b/entry/placement/update.go
@@ -143,9 +143,6 @@
 	if took > 0 && sign == SignAnswered {
 		f.learn(known, choice, took, now)
 	}
-	if sign == SignShed && (report == nil || report.Running >= report.Slots) {
-		sign = SignFull
-	}
 	if known.health.observe(sign, now) {
 		f.tell(known, BeliefFailing, "requests")
 	}
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -74,6 +74,7 @@
 	ReasonCanceled        Reason = "canceled"
 	ReasonShed            Reason = "shed"
 	ReasonServerFailed    Reason = "server-failed"
+	ReasonServerFull      Reason = "server-full"
 	ReasonNoRoute         Reason = "no-route"
 	ReasonReplaced        Reason = "server-replaced"
 	ReasonConnect         Reason = "connect"
