Placement is measured against a planner with full knowledge

The planner knows all servers' slots, queues, warm objects, faults and pace at once and without error. Goal: 0.9 of its goodput within the objective.

--- a/entry/placement/model_test.go
+++ b/entry/placement/model_test.go
@@ -66,6 +66,9 @@
 			Tried:     req.tried,
 		})
 	}
+	if w.policy == "planner" {
+		return w.planner.choose(w, at, req)
+	}
 	var open []*backend
 	for _, each := range w.servers {
 		if !slices.Contains(req.tried, each.ID) {
--- a/entry/placement/pattern_test.go
+++ b/entry/placement/pattern_test.go
@@ -169,6 +169,36 @@
 	}
 }
 
+// plannerShare is the part of the goodput of a planner with full knowledge that
+// entries are to reach.
+const plannerShare = 0.9
+
+// TestAgainstPlanner: entries reach nearly what could be reached if each knew all.
+func TestAgainstPlanner(t *testing.T) {
+	for _, p := range patterns() {
+		if !surges(p) {
+			t.Run(p.name, func(t *testing.T) { againstPlanner(t, p) })
+		}
+	}
+}
+
+// TestSurgeAgainstPlanner: the same where the servers suddenly have more to do
+// than they can.
+func TestSurgeAgainstPlanner(t *testing.T) {
+	for _, p := range patterns() {
+		if surges(p) {
+			t.Run(p.name, func(t *testing.T) { againstPlanner(t, p) })
+		}
+	}
+}
+
+func surges(p *pattern) bool { return p.cold || p.burst > 0 && p.impatient == 0 }
+
+func againstPlanner(t *testing.T, p *pattern) {
+	ours, best := play(t, p, "ours"), play(t, p, "planner")
+	assert.Check(t, float64(ours.inAim) >= plannerShare*float64(best.inAim), "ours %d, planner %d", ours.inAim, best.inAim)
+}
+
 // TestGoodputUnderOverload: at three times the load, more requests a second have
 // their answer within the objective than at one.
 func TestGoodputUnderOverload(t *testing.T) {
--- a/entry/placement/world_test.go
+++ b/entry/placement/world_test.go
@@ -82,6 +82,7 @@
 	result   result
 	seen     map[uint64]bool
 	busy     time.Duration
+	planner  planner
 }
 
 type entry struct {
@@ -214,6 +215,9 @@
 		seen:    make(map[uint64]bool),
 
 		arrivals: make(map[string]*rand.Rand),
+		planner: planner{
+			plans: make(map[string]*plan),
+		},
 	}
 	for i, region := range regions {
 		w.arrivals[region] = rand.New(rand.NewPCG(17, uint64(i)))
