Callers' idle connections and those to servers are bounded by the process's descriptors

Tests: TestWatchBounds, TestIdleTotal. Also: net/http's own complaints went to standard error unstructured; log writes fit a pipe (PIPE_BUF), since larger ones were split between other processes' lines.

--- a/entry/gate.go
+++ b/entry/gate.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -92,7 +93,9 @@
 	g.pool = &upstream.Pool{
 		Names:   platform.Headers,
 		MaxIdle: g.maxIdle,
-		Dial:    newDialer(connectTimeout).dial,
+
+		MaxIdleTotal: g.maxIdleTotal,
+		Dial:         newDialer(connectTimeout).dial,
 	}
 	g.registry = &registry.Registry{
 		Operators:  g.newStore(),
@@ -172,6 +175,32 @@
 	return max(1, conf.Services[service].MaxConnections/(2*g.entries()))
 }
 
+const (
+	// callersShare is the part of the descriptors that callers' connections may
+	// take, and idleShare the part for idle connections to servers. The rest is for
+	// requests in flight, look-ups, the store and peers.
+	callersShare = 0.5
+	idleShare    = 0.2
+	// defaultDescriptors is the usual limit of a process, for settings that give
+	// none.
+	defaultDescriptors = 1024
+)
+
+// maxCallers is how many connections of callers are kept open.
+func (g *gate) maxCallers() int {
+	return int(callersShare * float64(g.descriptors()))
+}
+
+// maxIdleTotal is how many idle connections to all servers are kept.
+func (g *gate) maxIdleTotal() int {
+	return int(idleShare * float64(g.descriptors()))
+}
+
+// descriptors is how many descriptors the process may have.
+func (g *gate) descriptors() int {
+	return cmp.Or(g.settings.Load().Descriptors, defaultDescriptors)
+}
+
 func (g *gate) entries() int {
 	_, count := g.place()
 	return count
@@ -215,6 +244,7 @@
 	group.Go(func() { g.watchSettings(background, hangups) })
 	watch := &gateway.Watch{
 		Configuration: g.registry.Configuration,
+		Most:          g.maxCallers,
 	}
 	callers := &http.Server{
 		Handler:           g.gateway,
@@ -222,6 +252,7 @@
 		ConnContext:       watch.Context,
 		ReadHeaderTimeout: headTimeout,
 		IdleTimeout:       maxIdle,
+		ErrorLog:          g.logger.Std("http ", 0),
 	}
 	servers := []*http.Server{callers}
 	failures := make(chan error, maxListeners)
@@ -246,6 +277,7 @@
 			Handler:           handler,
 			ReadHeaderTimeout: headTimeout,
 			IdleTimeout:       maxIdle,
+			ErrorLog:          g.logger.Std("http ", 0),
 		}
 		servers = append(servers, server)
 		run(server, listener)
--- a/entry/gateway/limits.go
+++ b/entry/gateway/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/list"
 	"context"
 	"net"
 	"net/http"
@@ -44,14 +45,27 @@
 }
 
 // Watch closes callers' connections that are idle, or take long to send a
-// request's head, for longer than the configuration in force allows. Its methods
-// are the hooks of a server.
+// request's head, for longer than the configuration in force allows, and those
+// idle longest where there are too many. Its methods are the hooks of a server.
 type Watch struct {
 	// Configuration returns the newest configuration, or nil.
 	Configuration func() *routing.Configuration
+	// Most returns how many connections may be open; nil sets no bound.
+	Most func() int
 
-	mu     sync.Mutex
-	timers map[net.Conn]*time.Timer
+	mu    sync.Mutex
+	conns map[net.Conn]*caller
+	// idle holds the connections without a request, the longest idle one first.
+	idle list.List
+}
+
+// caller is one connection of a caller.
+type caller struct {
+	conn net.Conn
+	// timer closes the connection, nil while a request is in flight.
+	timer *time.Timer
+	// idle is the connection's place among those without a request, nil with one.
+	idle *list.Element
 }
 
 // idleDefault and headDefault bound connections while there is no configuration.
@@ -65,7 +79,7 @@
 
 // Context is the ConnContext hook.
 func (v *Watch) Context(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, watched{}, func() { v.disarm(conn) })
+	return context.WithValue(ctx, watched{}, func() { v.headRead(conn) })
 }
 
 // HeadRead notes that the head of a request with this context was read.
@@ -81,46 +95,108 @@
 	if conf := v.Configuration(); conf != nil {
 		limits = conf.Limits
 	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
 	switch state {
-	case http.StateNew, http.StateIdle:
-		v.arm(conn, cmp.Or(limits.IdleTimeout, idleDefault))
+	case http.StateNew:
+		v.add(conn, cmp.Or(limits.IdleTimeout, idleDefault))
+	case http.StateIdle:
+		v.rest(v.conns[conn], cmp.Or(limits.IdleTimeout, idleDefault))
 	case http.StateActive:
-		v.arm(conn, cmp.Or(limits.HeaderTimeout, headDefault))
+		v.work(v.conns[conn], cmp.Or(limits.HeaderTimeout, headDefault))
 	default:
-		v.disarm(conn)
+		v.forget(v.conns[conn])
 	}
 }
 
-func (v *Watch) arm(conn net.Conn, limit time.Duration) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.timers == nil {
-		v.timers = make(map[net.Conn]*time.Timer)
+// add takes up a connection, and closes others if there are too many.
+func (v *Watch) add(conn net.Conn, limit time.Duration) {
+	if v.conns == nil {
+		v.conns = make(map[net.Conn]*caller)
+	}
+	each := &caller{
+		conn: conn,
+	}
+	each.timer = time.AfterFunc(limit, func() { v.expire(each) })
+	v.conns[conn] = each
+	each.idle = v.idle.PushBack(each)
+	for v.Most != nil && len(v.conns) > v.Most() {
+		oldest := v.idle.Front().Value.(*caller)
+		if oldest == each {
+			break
+		}
+		v.shut(oldest)
+	}
+}
+
+// rest notes that a connection has no request any more.
+func (v *Watch) rest(each *caller, limit time.Duration) {
+	if each == nil {
+		return
+	}
+	if each.idle == nil {
+		each.idle = v.idle.PushBack(each)
+	}
+	v.limit(each, limit)
+}
+
+// work notes that a request has begun on a connection.
+func (v *Watch) work(each *caller, limit time.Duration) {
+	if each == nil {
+		return
 	}
-	if timer := v.timers[conn]; timer != nil {
-		timer.Reset(limit)
+	if each.idle != nil {
+		v.idle.Remove(each.idle)
+		each.idle = nil
+	}
+	v.limit(each, limit)
+}
+
+func (v *Watch) limit(each *caller, limit time.Duration) {
+	if each.timer == nil {
+		each.timer = time.AfterFunc(limit, func() { v.expire(each) })
 		return
 	}
-	v.timers[conn] = time.AfterFunc(limit, func() { v.expire(conn) })
+	each.timer.Reset(limit)
 }
 
-func (v *Watch) disarm(conn net.Conn) {
+// headRead ends the limit on a request's head.
+func (v *Watch) headRead(conn net.Conn) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if timer := v.timers[conn]; timer != nil {
-		timer.Stop()
-		delete(v.timers, conn)
+	if each := v.conns[conn]; each != nil && each.timer != nil {
+		each.timer.Stop()
+		each.timer = nil
+	}
+}
+
+// forget drops a connection that is closed.
+func (v *Watch) forget(each *caller) {
+	if each == nil {
+		return
+	}
+	if each.timer != nil {
+		each.timer.Stop()
+		each.timer = nil
 	}
+	if each.idle != nil {
+		v.idle.Remove(each.idle)
+		each.idle = nil
+	}
+	delete(v.conns, each.conn)
+}
+
+func (v *Watch) shut(each *caller) {
+	v.forget(each)
+	// The caller has nothing outstanding; an error changes nothing.
+	_ = each.conn.Close()
 }
 
 // expire closes a connection unless a request came meanwhile.
-func (v *Watch) expire(conn net.Conn) {
+func (v *Watch) expire(each *caller) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.timers[conn] == nil {
-		return
+	if each.timer != nil && v.conns[each.conn] == each {
+		v.shut(each)
 	}
-	delete(v.timers, conn)
-	// The caller has nothing outstanding; an error changes nothing.
-	_ = conn.Close()
 }
--- a/entry/gateway/limits_test.go
+++ b/entry/gateway/limits_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -14,6 +15,57 @@
 	"github.com/teaselstack/teaselstack/routing"
 )
 
+// TestWatchBounds: with more connections than an entry has descriptors for, those
+// that have been idle longest are closed, and none with a request in flight.
+func TestWatchBounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		watch := &gateway.Watch{
+			Configuration: func() *routing.Configuration { return nil },
+			Most:          func() int { return 3 },
+		}
+		var far, near []net.Conn
+		open := func(states ...http.ConnState) {
+			ours, theirs := net.Pipe()
+			near, far = append(near, ours), append(far, theirs)
+			for _, state := range states {
+				watch.Changed(ours, state)
+			}
+			time.Sleep(time.Second)
+		}
+		open(http.StateNew, http.StateActive)
+		open(http.StateNew, http.StateActive, http.StateIdle)
+		open(http.StateNew)
+		open(http.StateNew, http.StateActive, http.StateIdle)
+		open(http.StateNew, http.StateActive)
+		assert.DeepEqual(t, closed(far), []bool{false, true, true, false, false})
+		// What the server reports of connections that were closed changes nothing.
+		watch.Changed(near[1], http.StateClosed)
+		watch.Changed(near[3], http.StateActive)
+		open(http.StateNew, http.StateActive)
+		assert.DeepEqual(t, closed(far), []bool{false, true, true, false, false, false})
+		for i, state := range []http.ConnState{http.StateClosed, http.StateIdle} {
+			watch.Changed(near[3*i], state)
+		}
+		open(http.StateNew, http.StateActive)
+		assert.DeepEqual(t, closed(far), []bool{false, true, true, true, false, false, false})
+		for _, conn := range near {
+			watch.Changed(conn, http.StateClosed)
+			conn.Close()
+		}
+	})
+}
+
+// closed tells which connections have been closed at their other end.
+func closed(conns []net.Conn) []bool {
+	ended := make([]bool, len(conns))
+	for i, conn := range conns {
+		_ = conn.SetReadDeadline(time.Now().Add(time.Millisecond))
+		_, err := conn.Read(make([]byte, 1))
+		ended[i] = errors.Is(err, io.EOF)
+	}
+	return ended
+}
+
 // TestWatch closes connections that are idle or slow to send a head for longer
 // than the configuration in force says, and none with a request in flight.
 func TestWatch(t *testing.T) {
--- a/entry/upstream/upstream.go
+++ b/entry/upstream/upstream.go
@@ -29,9 +29,13 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// MaxIdle returns how many idle connections are kept to a server of a service.
 	MaxIdle func(service string) int
+	// MaxIdleTotal returns how many are kept to all servers; nil sets no bound.
+	MaxIdleTotal func() int
 
 	mu   sync.Mutex
 	idle map[routing.Incarnation][]*conn
+	// kept counts the connections in idle.
+	kept int
 }
 
 const (
@@ -274,6 +278,7 @@
 	for len(kept) > 0 && now.After(kept[0].expires) {
 		kept[0].shut()
 		kept = kept[1:]
+		p.kept--
 	}
 	if len(kept) == 0 {
 		delete(p.idle, owner)
@@ -281,6 +286,7 @@
 	}
 	link := kept[len(kept)-1]
 	p.idle[owner] = kept[:len(kept)-1]
+	p.kept--
 	return link
 }
 
@@ -304,11 +310,13 @@
 		p.idle = make(map[routing.Incarnation][]*conn)
 	}
 	owner := server.Incarnation()
-	if len(p.idle[owner]) >= p.MaxIdle(server.Service) {
+	full := p.MaxIdleTotal != nil && p.kept >= p.MaxIdleTotal()
+	if full || len(p.idle[owner]) >= p.MaxIdle(server.Service) {
 		link.shut()
 		return
 	}
 	p.idle[owner] = append(p.idle[owner], link)
+	p.kept++
 }
 
 // Sweep closes connections that expired and those of servers that are gone.
@@ -321,6 +329,7 @@
 		for _, link := range kept {
 			if now.After(link.expires) || !alive(owner) {
 				link.shut()
+				p.kept--
 				continue
 			}
 			left = append(left, link)
--- a/entry/upstream/upstream_test.go
+++ b/entry/upstream/upstream_test.go
@@ -191,3 +191,40 @@
 		}
 	})
 }
+
+// TestIdleTotal: an entry keeps no more idle connections to all servers than it
+// has descriptors for.
+func TestIdleTotal(t *testing.T) {
+	pool, server := backend(t, func(conn net.Conn, reader *bufio.Reader) {
+		for {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			io.Copy(io.Discard, request.Body)
+			io.WriteString(conn, answer(request.Header.Get("X-Id"), "own"))
+		}
+	})
+	pool.MaxIdleTotal = func() int { return 2 }
+	reused := func() (count int) {
+		var open []*upstream.Answer
+		for i := range 4 {
+			each := *server
+			each.ID = fmt.Sprint("server-", i)
+			id := fmt.Sprint("r", i)
+			got, failure := pool.Exchange(t.Context(), &each, newRequest(id, "x"), id)
+			assert.Assert(t, failure == nil)
+			if got.Connected == 0 {
+				count++
+			}
+			open = append(open, got)
+		}
+		for _, got := range open {
+			got.Finish()
+		}
+		return count
+	}
+	assert.Equal(t, reused(), 0)
+	assert.Equal(t, reused(), 2)
+	assert.Equal(t, reused(), 2)
+}
--- a/logline/buffer.go
+++ b/logline/buffer.go
@@ -36,6 +36,8 @@
 	plainBytes  = bufferBytes * 3 / 4
 	// flushInterval gathers lines, so that a write carries many.
 	flushInterval = 50 * time.Millisecond
+	// chunkBytes is what a pipe takes at once: PIPE_BUF of pipe(7).
+	chunkBytes = 4096
 	// closeTimeout bounds the last write.
 	closeTimeout = 200 * time.Millisecond
 )
@@ -110,12 +112,29 @@
 		b.dropped = 0
 	}
 	b.mu.Unlock()
-	if len(lines) > 0 {
+	for len(lines) > 0 {
+		end := chunk(lines)
 		// There is nowhere to report that standard output fails.
-		_, _ = b.target.Write(lines)
+		_, _ = b.target.Write(lines[:end])
+		lines = lines[end:]
 	}
 }
 
+// chunk returns the end of the whole lines that one write takes, so that a pipe
+// with several writers or a slow reader splits none.
+func chunk(lines []byte) int {
+	if len(lines) <= chunkBytes {
+		return len(lines)
+	}
+	if end := bytes.LastIndexByte(lines[:chunkBytes], '\n'); end >= 0 {
+		return end + 1
+	}
+	if end := bytes.IndexByte(lines, '\n'); end >= 0 {
+		return end + 1
+	}
+	return len(lines)
+}
+
 // Dropped returns how many lines were dropped.
 func (b *Buffer) Dropped() int64 {
 	b.mu.Lock()
--- a/logline/buffer_test.go
+++ b/logline/buffer_test.go
@@ -77,3 +77,34 @@
 		close(out.open)
 	})
 }
+
+// chunks remembers each write.
+type chunks struct{ all []string }
+
+func (c *chunks) Write(content []byte) (int, error) {
+	c.all = append(c.all, string(content))
+	return len(content), nil
+}
+
+// TestWritesHoldWholeLines: a write fits a pipe and ends with a line's end, so that
+// lines of several processes don't mix.
+func TestWritesHoldWholeLines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out chunks
+		lines := logline.NewBuffer(&out)
+		logger := logline.NewJSON(lines, "entry", "entry-1")
+		for i := range 200 {
+			logger.Info().Str("event", "answered").Str("text", strings.Repeat("x", i)).Msg("")
+		}
+		logger.Info().Str("event", "long").Str("text", strings.Repeat("x", 5000)).Msg("")
+		logger.Info().Str("event", "after").Msg("")
+		lines.Close()
+		count := 0
+		for _, write := range out.all {
+			assert.Assert(t, strings.HasSuffix(write, "\n"))
+			assert.Assert(t, len(write) <= 4096 || strings.Count(write, "\n") == 1)
+			count += strings.Count(write, "\n")
+		}
+		assert.Equal(t, count, 202)
+	})
+}
