A route whose work is not known is tried where a slot is free

Now the guess is the least work known of routes of the same service and kind, and a request that only a guess, or an estimate not confirmed for two seconds, keeps out is given to a free slot.

--- a/entry/placement/cost.go
+++ b/entry/placement/cost.go
@@ -33,12 +33,6 @@
 	// counts. It takes longer than that, but leaves a second copy warm, which
 	// relieves the object's first server from then on.
 	coldWork = 2
-	// firstWork is the work assumed of a route without an objective, until answers
-	// tell.
-	firstWork = 300 * time.Millisecond
-	// objectiveWork is the part of a route's objective that is assumed as work
-	// until answers tell.
-	objectiveWork = 0.5
 	// paceHalfLife is how long it takes until half of a server's slowness counts as
 	// over, so that it is tried again.
 	paceHalfLife = 3 * time.Second
@@ -48,51 +42,12 @@
 	paceMost = 20
 )
 
-// estimate follows a low quantile of the times of answers: those of warm
-// servers that did not let the request wait.
-type estimate struct {
-	value time.Duration
-}
-
-// estimateQuantile is the part of the answers that are faster than the estimate
-// and estimateStep how far an answer moves it.
-const (
-	estimateQuantile = 0.35
-	estimateStep     = 0.04
-)
-
-func (e *estimate) observe(took time.Duration) {
-	step := estimateStep * float64(e.value)
-	if took < e.value {
-		e.value -= time.Duration(step * (1 - estimateQuantile))
-		return
-	}
-	e.value += time.Duration(step * estimateQuantile)
-}
-
-// workOf returns the expected work of a request at a warm server.
-func (f *Fleet) workOf(request *Request) time.Duration {
-	if request.Route == nil {
-		return firstWork
-	}
-	if known := f.work[request.Route.Name]; known != nil {
-		return known.value
-	}
-	if request.Route.Objective > 0 {
-		return time.Duration(objectiveWork * float64(request.Route.Objective))
-	}
-	return firstWork
-}
-
 // learn takes the time of an answer over.
 func (f *Fleet) learn(each *server, choice *Choice, took time.Duration, now time.Time) {
 	took = max(time.Millisecond, took-f.travel[each.Region])
-	known := f.work[choice.route]
-	if known == nil {
-		known = &estimate{
-			value: choice.work,
-		}
-		f.work[choice.route] = known
+	var known *estimate
+	if choice.route != nil {
+		known = f.estimateOf(choice.route, each.Service, choice.work)
 	}
 	// An object that was not warm tells nothing of the server's pace.
 	expected := choice.Expected - f.travel[each.Region]
@@ -101,8 +56,8 @@
 		each.pace = each.paceAt(now) + paceStep*(ratio-each.paceAt(now))
 		each.pacedAt = now
 	}
-	if choice.Pace < paceNormal {
-		known.observe(took)
+	if known != nil && choice.Pace < paceNormal {
+		known.observe(took, now)
 	}
 }
 
--- a/entry/placement/placement.go
+++ b/entry/placement/placement.go
@@ -161,7 +161,8 @@
 	// Congestion is how far the service is from having room, from 0 to 1.
 	Congestion float64
 
-	route  string
+	// route is the request's; nil if it has none.
+	route  *routing.Route
 	object uint64
 	// known says that the server had answered for the object lately.
 	known bool
@@ -213,7 +214,7 @@
 	choice := f.describe(ranked[best], best, now)
 	choice.Expected = bestCost
 	choice.Congestion = congestion
-	if !f.admits(request, ranked[best], bestCost, congestion, now) {
+	if !f.admits(request, ranked[best], bestCost, congestion, now) && !f.tries(request, ranked[best], bestCost, now) {
 		return choice, RefusalFull
 	}
 	f.take(ranked[best], now)
@@ -221,9 +222,7 @@
 	if each := ranked[best]; each.inFlight == 1 || each.waitingSince.IsZero() {
 		each.waitingSince, each.waitingFor = now, patience*bestCost
 	}
-	if request.Route != nil {
-		choice.route = request.Route.Name
-	}
+	choice.route = request.Route
 	choice.object = request.Object
 	choice.known = f.warm.has(ranked[best].hash, request.Object, now)
 	return choice, RefusalNone
