--- a/measure/main.go
+++ b/measure/main.go
@@ -26,6 +26,7 @@
 	parser.Name = "measure"
 	add(parser, "capacity", "measure how costs grow and print them beside the target", &capacityCommand{})
 	add(parser, "proofs", "list the tests that prove the promises, or print their results, read from go test -json", &proofsCommand{})
+	add(parser, "vary", "write variations of a site file of the platform's bench", &varyCommand{})
 	_, err := parser.ParseArgs(args)
 	var flagsErr *flags.Error
 	switch {
--- /dev/null
+++ b/measure/vary.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/go-faster/errors"
+
+	"github.com/teaselstack/teaselstack/platform/site"
+)
+
+type varyCommand struct {
+	To   string `long:"to" required:"true" description:"directory that the variations are written to"`
+	Args struct {
+		Site string `positional-arg-name:"SITE"`
+	} `positional-args:"true" required:"true"`
+}
+
+// Execute writes all variations of a site file and the messages beside it.
+func (c *varyCommand) Execute([]string) error {
+	content, err := os.ReadFile(c.Args.Site)
+	if err != nil {
+		return errors.Wrap(err, "read site file")
+	}
+	base := strings.TrimSuffix(filepath.Base(c.Args.Site), ".toml")
+	for _, name := range site.Names() {
+		varied, err := site.Vary(content, name)
+		if err != nil {
+			return err
+		}
+		path := filepath.Join(c.To, base+"-"+name+".toml")
+		if err := os.WriteFile(path, varied, 0o644); err != nil {
+			return errors.Wrap(err, "write variation")
+		}
+		fmt.Println(path)
+	}
+	return c.copyMessages()
+}
+
+// messagesFile is the file beside a site file that its messages are named in.
+const messagesFile = "wire.json"
+
+func (c *varyCommand) copyMessages() error {
+	content, err := os.ReadFile(filepath.Join(filepath.Dir(c.Args.Site), messagesFile))
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return errors.Wrap(err, "read messages")
+	}
+	if err := os.WriteFile(filepath.Join(c.To, messagesFile), content, 0o644); err != nil {
+		return errors.Wrap(err, "write messages")
+	}
+	return nil
+}
