--- a/entry/gate.go
+++ b/entry/gate.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -181,24 +180,16 @@
 	// requests in flight, look-ups, the store and peers.
 	callersShare = 0.5
 	idleShare    = 0.2
-	// defaultDescriptors is the usual limit of a process, for settings that give
-	// none.
-	defaultDescriptors = 1024
 )
 
 // maxCallers is how many connections of callers are kept open.
 func (g *gate) maxCallers() int {
-	return int(callersShare * float64(g.descriptors()))
+	return int(callersShare * float64(g.settings.Load().Descriptors))
 }
 
 // maxIdleTotal is how many idle connections to all servers are kept.
 func (g *gate) maxIdleTotal() int {
-	return int(idleShare * float64(g.descriptors()))
-}
-
-// descriptors is how many descriptors the process may have.
-func (g *gate) descriptors() int {
-	return cmp.Or(g.settings.Load().Descriptors, defaultDescriptors)
+	return int(idleShare * float64(g.settings.Load().Descriptors))
 }
 
 func (g *gate) entries() int {
@@ -283,7 +274,8 @@
 		run(server, listener)
 	}
 	settings := g.settings.Load()
-	g.logger.Info().Str("event", "started").Str("callers", settings.CallersAddress).Str("region", settings.Region).Msg("")
+	g.logger.Info().Str("event", "started").Str("callers", settings.CallersAddress).Str("region", settings.Region).
+		Strs("defaulted", settings.Defaulted).Msg("")
 	var failure error
 	select {
 	case <-ctx.Done():
