Changes of servers are read more often where the ways are long

Now a quarter of the bound stays free beside 2.5 round trips to the farthest servers; the kit's sites keep their pause.

--- a/entry/gate.go
+++ b/entry/gate.go
@@ -48,6 +48,13 @@
 	// be left alone that may pass between two readings of the registrations; the
 	// rest is for the reading and for requests on their way.
 	registrationShare = 0.5
+	// travelShare is the part of that time that is left for news and requests on
+	// their way beside the round trips that they take: a call of the store, a new
+	// connection and the way of a request.
+	travelShare      = 0.25
+	travelRoundTrips = 2.5
+	// minPauseShare bounds the calls where the ways are too long for the bound.
+	minPauseShare = 0.1
 	// connectTimeout bounds connecting to a backend server: a lost opening packet
 	// is sent again after a second, and the longest way takes a fraction of one.
 	connectTimeout = 700 * time.Millisecond
@@ -97,10 +104,12 @@
 		Dial:         newDialer(connectTimeout).dial,
 	}
 	g.registry = &registry.Registry{
-		Operators:  g.newStore(),
-		Servers:    g.newStore(),
-		Regions:    settings.Domains,
-		Interval:   time.Duration(registrationShare * float64(settings.Bounds.Drain)),
+		Operators: g.newStore(),
+		Servers:   g.newStore(),
+		Regions:   settings.Domains,
+		Interval: func() time.Duration {
+			return registrationPause(g.settings.Load().Bounds.Drain, g.fleet.LongestTravel())
+		},
 		Lag:        settings.Bounds.Touch,
 		Configured: g.fleet.Configure,
 		Evacuate:   g.fleet.Evacuate,
@@ -135,6 +144,14 @@
 	return g
 }
 
+// registrationPause is the longest time between two readings of the servers'
+// changes: half of the time within which a leaving server must be left alone, or
+// less where the ways are long.
+func registrationPause(drain, roundTrip time.Duration) time.Duration {
+	left := (1-travelShare)*float64(drain) - travelRoundTrips*float64(roundTrip)
+	return time.Duration(max(minPauseShare*float64(drain), min(registrationShare*float64(drain), left)))
+}
+
 func (g *gate) serverChanged(server *routing.Server, belief placement.Belief, cause string) {
 	g.logger.Info().Str("event", "server").Str("server", server.ID).Str("belief", string(belief)).Str("cause", cause).
 		Str("service", server.Service).Str("failure-domain", server.Domain).Int64("sequence", server.Sequence).Msg("")
--- a/entry/placement/summary.go
+++ b/entry/placement/summary.go
@@ -62,3 +62,15 @@
 	}
 	return occupied
 }
+
+// LongestTravel returns the longest way to a region's servers and back that is
+// known.
+func (f *Fleet) LongestTravel() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	longest := time.Duration(0)
+	for _, travel := range f.travel {
+		longest = max(longest, travel)
+	}
+	return longest
+}
--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -24,7 +24,7 @@
 	// Regions holds the region of each failure domain.
 	Regions map[string]string
 	// Interval is the time between two readings of the servers' changes.
-	Interval time.Duration
+	Interval func() time.Duration
 	// Lag is how long after an outage of the store its news may be missed: a call
 	// that the store lost is given up by then.
 	Lag time.Duration
@@ -98,7 +98,7 @@
 	table string
 	// wait is how long the store holds a call, pause the time between calls.
 	wait  time.Duration
-	pause time.Duration
+	pause func() time.Duration
 	// replace takes a whole table over, change what changed in it.
 	replace func([]platform.Record)
 	change  func([]platform.Record)
@@ -152,7 +152,9 @@
 		}
 		r.note(each.table)
 		pause = 0
-		sleep(ctx, each.pause)
+		if each.pause != nil {
+			sleep(ctx, each.pause())
+		}
 	}
 }
 
--- a/entry/registry/registry_test.go
+++ b/entry/registry/registry_test.go
@@ -85,7 +85,7 @@
 		Regions: map[string]string{
 			"north-a": "north",
 		},
-		Interval:   time.Second,
+		Interval:   func() time.Duration { return time.Second },
 		Lag:        3 * time.Second,
 		Configured: func(*routing.Configuration) {},
 		Evacuate:   f.setEvacuated,
