A server that begins to leave while it is connected to gets no request

An opening packet that is lost is sent again after a second: with connecting and the way, the pause between two readings could be exceeded where the drain bound is short.

--- a/entry/gate.go
+++ b/entry/gate.go
@@ -99,6 +99,7 @@
 	g.pool = &upstream.Pool{
 		Names:   platform.Headers,
 		MaxIdle: g.maxIdle,
+		Wanted:  g.fleet.Wanted,
 
 		MaxIdleTotal: g.maxIdleTotal,
 		Dial:         newDialer(connectTimeout).dial,
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/teaselstack/teaselstack/routing"
 )
 
 // serve runs a test in a bubble with a gateway before servers.
@@ -368,3 +370,27 @@
 		})
 	}
 }
+
+// TestServerLeavesWhileConnecting: a server that begins to leave while a connection
+// to it is opened gets no request on it.
+func TestServerLeavesWhileConnecting(t *testing.T) {
+	serve(t, answerGood, []string{"a", "b"}, func(t *testing.T, s *site) {
+		var leaving string
+		dial := s.gateway.Pool.Dial
+		s.gateway.Pool.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			if leaving == "" {
+				leaving = address
+				time.Sleep(600 * time.Millisecond)
+				server := testServer(address, 0)
+				server.Draining = true
+				s.gateway.Fleet.Update([]routing.Server{server})
+			}
+			return dial(ctx, address)
+		}
+		answer, cut := s.ask(newRequest(http.MethodPost, "/book/1", "r1", "x"))
+		assert.Assert(t, !cut)
+		assert.Equal(t, answer.Code, http.StatusOK)
+		assert.Equal(t, len(s.requests()[leaving]), 0)
+		assert.Equal(t, s.arrivals(), 1)
+	})
+}
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -255,6 +255,10 @@
 	case failure.Unconnected:
 		result.reason = outcome.ReasonConnect
 		result.sign = placement.SignUnconnected
+		if errors.Is(failure.Err, upstream.ErrUnwanted) {
+			result.reason = outcome.ReasonServerLeaving
+			result.sign = placement.SignNone
+		}
 		if ctx.Err() != nil {
 			result.sign = placement.SignNone
 		}
--- a/entry/placement/update.go
+++ b/entry/placement/update.go
@@ -155,3 +155,12 @@
 	known := f.servers[owner.ID]
 	return known != nil && known.Incarnation() == owner
 }
+
+// Wanted reports whether a server as it was chosen still gets requests.
+func (f *Fleet) Wanted(server *routing.Server) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known := f.servers[server.ID]
+	return known != nil && known.Incarnation() == server.Incarnation() &&
+		!known.Draining && !known.health.replaced && !f.evacuated[known.Domain]
+}
--- a/entry/upstream/upstream.go
+++ b/entry/upstream/upstream.go
@@ -29,6 +29,9 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// MaxIdle returns how many idle connections are kept to a server of a service.
 	MaxIdle func(service string) int
+	// Wanted reports whether a server still gets requests; it is asked after a
+	// connection was opened, which may take long. Nil wants all.
+	Wanted func(server *routing.Server) bool
 	// MaxIdleTotal returns how many are kept to all servers; nil sets no bound.
 	MaxIdleTotal func() int
 
@@ -63,6 +66,9 @@
 	expires time.Time
 }
 
+// ErrUnwanted says that a server began to leave while it was connected to.
+var ErrUnwanted = errors.New("server is leaving")
+
 // Failure says what broke and whether the request may have reached the server.
 type Failure struct {
 	// Sent says that bytes may have reached the server.
@@ -105,6 +111,13 @@
 			Err:         err,
 		}
 	}
+	if !reused && p.Wanted != nil && !p.Wanted(server) {
+		link.shut()
+		return nil, &Failure{
+			Unconnected: true,
+			Err:         ErrUnwanted,
+		}
+	}
 	stop := context.AfterFunc(ctx, func() {
 		// An expired deadline ends reads and writes at once; Close follows.
 		_ = link.SetDeadline(time.Unix(1, 0))
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -75,6 +75,7 @@
 	ReasonShed            Reason = "shed"
 	ReasonServerFailed    Reason = "server-failed"
 	ReasonServerFull      Reason = "server-full"
+	ReasonServerLeaving   Reason = "server-leaving"
 	ReasonNoRoute         Reason = "no-route"
 	ReasonReplaced        Reason = "server-replaced"
 	ReasonConnect         Reason = "connect"
