--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -265,11 +265,7 @@
 		return
 	case ctx.Err() != nil:
 		result.reason = outcome.ReasonDeadline
-		result.sign = placement.SignSilent
-		if !req.body.repeatable() {
-			// The server may have waited for the caller.
-			result.sign = placement.SignNone
-		}
+		result.sign = placement.SignNone
 	case req.body.failure() != nil:
 		result.reason = outcome.ReasonBodyBroken
 		result.sign = placement.SignNone
--- a/entry/placement/health.go
+++ b/entry/placement/health.go
@@ -22,8 +22,6 @@
 	SignReplaced
 	// SignBroken means that the answer was cut, spoilt or a failure.
 	SignBroken
-	// SignSilent means that no answer came while there was time.
-	SignSilent
 	// SignNone tells nothing of the server.
 	SignNone
 )
@@ -82,7 +80,7 @@
 		return false
 	}
 	h.failures++
-	condemned := sign == SignUnconnected || sign == SignShed || sign == SignSilent ||
+	condemned := sign == SignUnconnected || sign == SignShed ||
 		h.failures >= failWeight && h.failures >= failShare*h.total
 	if !condemned || now.Before(h.until) {
 		return false
--- a/entry/placement/placement.go
+++ b/entry/placement/placement.go
@@ -120,8 +120,6 @@
 	// had one since, waitingFor how long that may take.
 	waitingSince time.Time
 	waitingFor   time.Duration
-	// answeredAt is when the server last gave this entry an answer of any kind.
-	answeredAt time.Time
 	// doubtful says that the server may be gone.
 	doubtful bool
 }
@@ -166,7 +164,6 @@
 	// route is the request's; nil if it has none.
 	route  *routing.Route
 	object uint64
-	placed time.Time
 	// known says that the server had answered for the object lately.
 	known bool
 	work  time.Duration
@@ -227,7 +224,6 @@
 	}
 	choice.route = request.Route
 	choice.object = request.Object
-	choice.placed = now
 	choice.known = f.warm.has(ranked[best].hash, request.Object, now)
 	return choice, RefusalNone
 }
--- a/entry/placement/update.go
+++ b/entry/placement/update.go
@@ -128,11 +128,7 @@
 		return
 	}
 	now := time.Now()
-	if sign == SignSilent && !known.silent(choice, now) {
-		sign = SignNone
-	}
-	if sign != SignNone && sign != SignSilent {
-		known.answeredAt = now
+	if sign != SignNone {
 		known.waitingSince, known.waitingFor = now, patience*choice.Expected
 	}
 	if report != nil {
@@ -152,12 +148,6 @@
 	}
 }
 
-// silent reports whether a server has given no answer at all since a request was
-// placed there, for longer than the request was expected to take.
-func (s *server) silent(choice *Choice, now time.Time) bool {
-	return !s.answeredAt.After(choice.placed) && now.Sub(choice.placed) >= patience*choice.Expected
-}
-
 // Present reports whether a server's incarnation is registered.
 func (f *Fleet) Present(owner routing.Incarnation) bool {
 	f.mu.Lock()
