Errors that were dropped are told or have their reason; the site's tests wait for each entry's intents

Closing what is not read any more goes through one function with the reason; a read or write deadline that can't be set and a platform that does not give its version are events now.

--- a/entry/configuration/source.go
+++ b/entry/configuration/source.go
@@ -136,9 +136,17 @@
 }
 
 func (k *Keeper) polls(ctx context.Context) {
+	failing := false
 	for {
 		if k.AsksPlatform == nil || k.AsksPlatform() || !k.settled.Load() {
-			_ = k.Poll(ctx)
+			err := k.Poll(ctx)
+			if err != nil && !failing && ctx.Err() == nil {
+				k.Events.Record(timeline.Event{
+					Kind:   "configuration-poll-failed",
+					Detail: err.Error(),
+				})
+			}
+			failing = err != nil
 		}
 		select {
 		case <-ctx.Done():
--- a/entry/dispatch/forward.go
+++ b/entry/dispatch/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/hex"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -150,7 +151,7 @@
 	}
 	if bad := check(req, server, response); bad != nil {
 		req.closeAttempt(body)
-		_ = response.Body.Close()
+		discard(response.Body)
 		trace.close()
 		return answer{
 			outcome: *bad,
@@ -163,7 +164,7 @@
 		server:   server.Name,
 		release: func(end outcome.Outcome) {
 			req.closeAttempt(body)
-			_ = response.Body.Close()
+			discard(response.Body)
 			if end.Kind != outcome.Done {
 				trace.close()
 			}
@@ -276,10 +277,14 @@
 	return outcome.Dispatched
 }
 
+// discard closes what is of no more use. Nothing of it is read any more, so that
+// an error tells nothing.
+func discard(closer io.Closer) { _ = closer.Close() }
+
 // close closes the connection, so that no later request gets what still comes
 // on it.
 func (c *connectionTrace) close() {
 	if connection := c.connection.Load(); connection != nil {
-		_ = (*connection).Close()
+		discard(*connection)
 	}
 }
--- a/entry/dispatch/relay.go
+++ b/entry/dispatch/relay.go
@@ -113,7 +113,7 @@
 	stated := response.Header.Get(header.Outcome)
 	if outcome.Parse(stated) != outcome.Done {
 		req.closeAttempt(body)
-		_ = response.Body.Close()
+		discard(response.Body)
 		out := outcome.FromPeer(stated, outcome.Reason(response.Header.Get(header.Reason)), "told by the entry at "+address)
 		out.Status = response.StatusCode
 		return answer{
@@ -123,7 +123,7 @@
 		}
 	}
 	if !framed(req, response) {
-		_ = response.Body.Close()
+		discard(response.Body)
 		return refused(outcome.End(outcome.Dispatched, outcome.ReasonUnframed, "the entry at "+address))
 	}
 	return answer{
@@ -131,7 +131,7 @@
 		outcome:  outcome.End(outcome.Answered, "", ""),
 		release: func(end outcome.Outcome) {
 			req.closeAttempt(body)
-			_ = response.Body.Close()
+			discard(response.Body)
 			if end.Kind != outcome.Done {
 				trace.close()
 			}
--- a/entry/dispatch/request.go
+++ b/entry/dispatch/request.go
@@ -17,6 +17,7 @@
 	"github.com/teaselstack/teaselstack/header"
 	"github.com/teaselstack/teaselstack/intent"
 	"github.com/teaselstack/teaselstack/outcome"
+	"github.com/teaselstack/teaselstack/timeline"
 )
 
 // Digest identifies what a request asks for: service, method, path, query,
@@ -274,8 +275,19 @@
 	}
 	controller := http.NewResponseController(w)
 	deadline := req.arrived.Add(req.timeout)
-	_ = controller.SetReadDeadline(deadline.Add(readGrace))
-	_ = controller.SetWriteDeadline(deadline.Add(settleTime))
+	err := controller.SetReadDeadline(deadline.Add(readGrace))
+	if writeErr := controller.SetWriteDeadline(deadline.Add(settleTime)); err == nil {
+		err = writeErr
+	}
+	if err != nil {
+		// The request's own deadline still ends the work; a caller that does not
+		// read or write is ended by the server's time-outs.
+		d.Events.Record(timeline.Event{
+			Kind:    "request-unbounded",
+			Service: req.Service.Name,
+			Detail:  err.Error(),
+		})
+	}
 }
 
 // context bounds the request's work by its deadline. A caller that leaves ends
--- a/standin/site/deployment_test.go
+++ b/standin/site/deployment_test.go
@@ -118,6 +118,15 @@
 	d.eventually("the intents are published", func() bool {
 		return d.teaselctl("publish", "--wait", filepath.Join(directory, "intents")) == nil
 	})
+	// An entry that was not up yet when the intents were published follows.
+	d.eventually("all entries have the intents", func() bool {
+		for _, entry := range d.Entries {
+			if !d.inForce(1, entry.Name) {
+				return false
+			}
+		}
+		return true
+	})
 	return d
 }
 
