--- a/entry/registry/registry_test.go
+++ b/entry/registry/registry_test.go
@@ -213,11 +213,7 @@
 
 func TestLeavingServers(t *testing.T) {
 	follow(t, func(t *testing.T, f *follower) {
-		f.configure(1)
-		f.register("a", "ready", 1)
-		f.register("b", "ready", 1)
-		f.run()
-		time.Sleep(100 * time.Millisecond)
+		f.begin()
 		assert.Assert(t, f.Known())
 		f.register("a", "draining", 2)
 		f.store.Remove(platform.ServerTable, "b")
@@ -244,14 +240,19 @@
 	})
 }
 
+// begin lets the registry read a configuration and two servers.
+func (f *follower) begin() {
+	f.configure(1)
+	f.register("a", "ready", 1)
+	f.register("b", "ready", 1)
+	f.run()
+	time.Sleep(100 * time.Millisecond)
+}
+
 // TestHistoryGone reads the tables in full and misses nothing.
 func TestHistoryGone(t *testing.T) {
 	follow(t, func(t *testing.T, f *follower) {
-		f.configure(1)
-		f.register("a", "ready", 1)
-		f.register("b", "ready", 1)
-		f.run()
-		time.Sleep(100 * time.Millisecond)
+		f.begin()
 		f.store.SetFault(store.Fault{
 			Outage: store.Refuse,
 		})
@@ -274,11 +275,7 @@
 // is doubtful for two seconds and gone then, also when nothing else changes.
 func TestLapsedWhileTheStoreWasAway(t *testing.T) {
 	follow(t, func(t *testing.T, f *follower) {
-		f.configure(1)
-		f.register("a", "ready", 1)
-		f.register("b", "ready", 1)
-		f.run()
-		time.Sleep(100 * time.Millisecond)
+		f.begin()
 		f.store.SetFault(store.Fault{
 			Outage: store.Refuse,
 		})
