standin/server: Crash waits for the handlers in flight

Cause: Crash returned while handlers of the crashed incarnation still ran. Change: handlers are counted while the server is not crashed, and Crash waits for them.

--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -107,10 +107,14 @@
 	waiting int
 	// slotTokens is a semaphore that holds one element for each occupied slot.
 	slotTokens chan struct{}
-	// httpServer serves the listener of the last Start.
+	// httpServer serves the listener of the last Start. It is nil while the server is
+	// crashed.
 	httpServer *http.Server
 	// group waits for the goroutine that serves the listener.
 	group sync.WaitGroup
+	// handlers waits for the handlers in flight. Handlers are added with mu held and only
+	// while the server is not crashed.
+	handlers sync.WaitGroup
 }
 
 // maxQueuedPerSlot is the maximum number of waiting requests for each slot.
@@ -124,10 +128,15 @@
 	s.startUnixMS = time.Now().UnixMilli()
 	s.sequence = 0
 	s.drainingSince = time.Time{}
-	s.httpServer = &http.Server{
-		Handler: http.HandlerFunc(s.serve),
-	}
-	server := s.httpServer
+	server := &http.Server{}
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !s.beginHandler(server) {
+			panic(http.ErrAbortHandler)
+		}
+		defer s.handlers.Done()
+		s.serve(w, r)
+	})
+	s.httpServer = server
 	s.mu.Unlock()
 	s.group.Go(func() {
 		// Serve returns an error when Crash closes the listener, as intended.
@@ -136,15 +145,33 @@
 	s.register("ready")
 }
 
-// Crash stops the server immediately and breaks all connections. Handlers in flight may
-// still run when it returns. The registration stays.
+// beginHandler adds a handler of an http.Server to those that Crash waits for. It returns
+// false if that http.Server has crashed.
+func (s *Server) beginHandler(server *http.Server) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.httpServer != server {
+		return false
+	}
+	s.handlers.Add(1)
+	return true
+}
+
+// Crash stops the server immediately, breaks all connections and waits for the handlers
+// in flight, which end because their connections are broken. The registration stays. On
+// a server that is already crashed, it does nothing.
 func (s *Server) Crash() {
 	s.mu.Lock()
 	server := s.httpServer
+	s.httpServer = nil
 	s.mu.Unlock()
+	if server == nil {
+		return
+	}
 	// Close, unlike Shutdown, breaks the requests in flight, as a crash does.
 	_ = server.Close()
 	s.group.Wait()
+	s.handlers.Wait()
 }
 
 // Drain registers the server as draining. The server continues to serve requests, also
