entry/placement: objects go to their callers' region as far as its slots go

Cause: an object is requested in one region only, yet the own region's servers counted 1.5 times, so with three regions alike 57 in 100 objects ran elsewhere: 110 ms further away, over new connections that take as long again. Once a server had no room, all three candidates could be in the own region's order while another region had free slots. Change: the share of each region follows from its slots and an assumed even demand (half of all slots); only what exceeds 0.7 of the own region's slots goes elsewhere, in proportion to the room there. The first server of another region is always compared too. The options for the weight of the own region are gone. Test: TestObjectsStayInTheirRegion (its second pattern is a region with few servers), TestSlotWeights, TestSlotWeightsFillNoRegion.

--- a/entry/placement/placement.go
+++ b/entry/placement/placement.go
@@ -30,6 +30,10 @@
 	// name of the service and ordered by ID.
 	servers   map[string]*serverRecord
 	byService map[string][]*serverRecord
+	// regions is the set of the regions of all servers.
+	regions map[string]bool
+	// regionWeights is keyed by the name of the service.
+	regionWeights map[string]regionWeights
 	// evacuated is the set of evacuated failure domains.
 	evacuated map[string]bool
 	// serviceSettings is keyed by the name of the service.
@@ -64,9 +68,6 @@
 
 // options holds the values that an Option sets.
 type options struct {
-	// localWeight and localUploadWeight are set by WithLocalRegionWeight.
-	localWeight       float64
-	localUploadWeight float64
 	// coldRateLimit is set by WithColdRateLimit.
 	coldRateLimit func() (factor, slack float64)
 }
@@ -74,15 +75,6 @@
 // Option configures a Fleet.
 type Option func(*options)
 
-// WithLocalRegionWeight sets the factors by which the rendezvous weight of servers
-// in the entry's own region is multiplied. Uploads have their own factor, because
-// their bodies are the most expensive to send between regions.
-func WithLocalRegionWeight(requests, uploads float64) Option {
-	return func(o *options) {
-		o.localWeight, o.localUploadWeight = requests, uploads
-	}
-}
-
 // WithColdRateLimit sets the limit for the requests per second that all entries
 // together send to a cold server: the ColdRateLimit of its service, multiplied by
 // factor, plus slack.
@@ -96,12 +88,12 @@
 		Region:        region,
 		EntryPosition: entryPosition,
 		options: options{
-			localWeight:       1,
-			localUploadWeight: 1,
-			coldRateLimit:     func() (factor, slack float64) { return 1, 0 },
+			coldRateLimit: func() (factor, slack float64) { return 1, 0 },
 		},
 		servers:         make(map[string]*serverRecord),
 		byService:       make(map[string][]*serverRecord),
+		regions:         make(map[string]bool),
+		regionWeights:   make(map[string]regionWeights),
 		evacuated:       make(map[string]bool),
 		serviceSettings: make(map[string]*routing.Service),
 		serviceTimes:    make(map[string]*serviceTimeEstimate),
@@ -227,17 +219,19 @@
 	if len(ranked) == 0 {
 		return Choice{}, RefusalNoServer
 	}
-	best, bestLatency, considered := -1, time.Duration(0), 0
+	best, bestLatency, considered, consideredOther := -1, time.Duration(0), 0, false
 	for rank, server := range ranked {
-		if f.load(server, now) >= maxLoad*float64(server.Slots) || !f.withinColdRateLimit(server, now) {
+		other := server.Region != f.Region
+		if considered >= maxCandidates && !other || f.load(server, now) >= maxLoad*float64(server.Slots) || !f.withinColdRateLimit(server, now) {
 			continue
 		}
+		consideredOther = consideredOther || other
 		latency := f.expectedLatency(request, server, rank, now)
 		if best < 0 || latency < bestLatency {
 			best, bestLatency = rank, latency
 		}
 		considered++
-		if considered == maxCandidates {
+		if considered >= maxCandidates && consideredOther {
 			break
 		}
 	}
--- a/entry/placement/rank.go
+++ b/entry/placement/rank.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-
-	"github.com/teaselstack/teaselstack/routing"
 )
 
 // rank returns the servers that may run a request, by falling rendezvous score for the
@@ -20,6 +18,7 @@
 		score   float64
 		failing bool
 	}
+	weights := f.regionWeightsFor(request.Service, now)
 	order := make([]scored, 0, len(servers))
 	failing := 0
 	for _, server := range servers {
@@ -35,7 +34,7 @@
 		}
 		order = append(order, scored{
 			server:  server,
-			score:   f.score(request, server),
+			score:   score(request.Object, server, weights[server.Region]),
 			failing: serverFailing,
 		})
 	}
@@ -73,21 +72,14 @@
 	return f.peerReports.failing[server.wireHash()] >= minPeersReportingFailure
 }
 
-// score returns the weighted rendezvous score of a server for the request's object, by
-// the logarithmic method: the share of the objects for which a server has the highest
-// score is proportional to its weight. The weight is the server's number of slots,
-// multiplied by the local weight if the server is in the entry's region.
-func (f *Fleet) score(request *Request, server *serverRecord) float64 {
-	weight := float64(server.Slots)
-	if server.Region == f.Region {
-		if request.Kind == routing.Upload {
-			weight *= f.options.localUploadWeight
-		} else {
-			weight *= f.options.localWeight
-		}
-	}
+// score returns the weighted rendezvous score of a server for an object, by the logarithmic
+// method: the share of the objects for which a server has the highest score is proportional
+// to its weight. The weight is the server's number of slots, multiplied by the weight of a
+// slot in its region.
+func score(object uint64, server *serverRecord, slotWeight float64) float64 {
+	weight := float64(server.Slots) * slotWeight
 	// draw is a pseudorandom number in (0, 1), which depends on the object and the server.
-	draw := (float64(fmix64(request.Object^server.hash)>>11) + 0.5) / (1 << 53)
+	draw := (float64(fmix64(object^server.hash)>>11) + 0.5) / (1 << 53)
 	return -weight / math.Log(draw)
 }
 
--- a/entry/placement/scenario_test.go
+++ b/entry/placement/scenario_test.go
@@ -204,6 +204,37 @@
 	assert.Check(t, float64(ours.withinObjective) >= minPlannerShare*float64(best.withinObjective), "ours %d, planner %d", ours.withinObjective, best.withinObjective)
 }
 
+// TestObjectsStayInTheirRegion checks that requests run in the region of their callers where
+// its servers have room, and that only the excess of a region with few servers runs
+// elsewhere. Such a region's servers can run at most seven of fifteen of its requests, see
+// maxHomeUtilization.
+func TestObjectsStayInTheirRegion(t *testing.T) {
+	steady := simulate(t, &scenario{
+		name:    "steady",
+		rate:    30,
+		length:  20 * time.Second,
+		objects: 24,
+	}, "ours")
+	for _, region := range regions {
+		assert.Check(t, steady.shareAtHome(region) >= 0.95, "%s: %.3f", region, steady.shareAtHome(region))
+	}
+	skewed := simulate(t, &scenario{
+		name:    "few-servers-in-one-region",
+		rate:    30,
+		length:  20 * time.Second,
+		objects: 24,
+		servers: map[string]int{
+			"north": 2,
+			"south": 8,
+			"west":  8,
+		},
+	}, "ours")
+	assert.Check(t, skewed.shareAtHome("north") >= 0.25 && skewed.shareAtHome("north") <= 0.6, "north: %.3f", skewed.shareAtHome("north"))
+	for _, region := range []string{"south", "west"} {
+		assert.Check(t, skewed.shareAtHome(region) >= 0.9, "%s: %.3f", region, skewed.shareAtHome(region))
+	}
+}
+
 // TestGoodputUnderOverload checks that the goodput does not fall when the load triples.
 func TestGoodputUnderOverload(t *testing.T) {
 	sc := scenario{
--- a/entry/placement/simulation_test.go
+++ b/entry/placement/simulation_test.go
@@ -165,6 +165,8 @@
 	requestsByRegion map[string]int
 	// answeredByRegion counts the requests answered before the deadline.
 	answeredByRegion map[string]int
+	// answeredAtHome counts those that a server of the caller's region answered.
+	answeredAtHome map[string]int
 }
 
 func (r result) String() string {
@@ -183,6 +185,12 @@
 // share returns the ratio of a count to all requests.
 func (r result) share(count int) float64 { return float64(count) / float64(max(1, r.requests)) }
 
+// shareAtHome returns the share of a region's answered requests that the region's own servers
+// answered.
+func (r result) shareAtHome(region string) float64 {
+	return float64(r.answeredAtHome[region]) / float64(max(1, r.answeredByRegion[region]))
+}
+
 // lowestRegionShare returns the lowest share of answered requests among the regions.
 func (r result) lowestRegionShare() float64 {
 	lowest := 1.0
@@ -270,6 +278,7 @@
 	}
 	sim.result.requestsByRegion = make(map[string]int)
 	sim.result.answeredByRegion = make(map[string]int)
+	sim.result.answeredAtHome = make(map[string]int)
 	sim.addServers()
 	for i, region := range slices.Concat(regions, regions, regions[:1]) {
 		sim.entries = append(sim.entries, sim.newEntry(i, region))
@@ -319,8 +328,7 @@
 		name:   fmt.Sprintf("entry-%d", index),
 		region: region,
 		fleet: placement.New(region, func() (int, int) { return index, count },
-			placement.WithColdRateLimit(func() (factor, slack float64) { return 1.5, 5 }),
-			placement.WithLocalRegionWeight(1.5, 3)),
+			placement.WithColdRateLimit(func() (factor, slack float64) { return 1.5, 5 })),
 	}
 	created.fleet.Configure(routing.NewConfiguration(1, []*routing.Service{
 		{
--- a/entry/placement/simulationrequest_test.go
+++ b/entry/placement/simulationrequest_test.go
@@ -186,6 +186,9 @@
 		return
 	}
 	took := time.Since(req.firstSent) + callerDelay
+	if took <= deadline && att.choice.Server.Region == req.region {
+		sim.result.answeredAtHome[req.region]++
+	}
 	switch {
 	case took <= objective:
 		sim.result.withinObjective++
--- a/entry/placement/update.go
+++ b/entry/placement/update.go
@@ -97,9 +97,11 @@
 // rebuildIndex rebuilds the index of servers by service, ordered by ID.
 func (f *Fleet) rebuildIndex() {
 	f.byService = make(map[string][]*serverRecord)
+	clear(f.regions)
 	for _, id := range slices.Sorted(maps.Keys(f.servers)) {
 		server := f.servers[id]
 		f.byService[server.Service] = append(f.byService[server.Service], server)
+		f.regions[server.Region] = true
 	}
 }
 
--- a/entry/platform_node.go
+++ b/entry/platform_node.go
@@ -86,10 +86,6 @@
 	// suspectGossipTime is how long after its last failure a suspect is sent to peers.
 	// It spans several datagrams, as more than half of them may be lost.
 	suspectGossipTime = 5 * time.Second
-	// localRegionWeight and, for uploads, uploadLocalRegionWeight are the factors by which
-	// the rendezvous weight of a server in the entry's own region is multiplied.
-	localRegionWeight       = 1.5
-	uploadLocalRegionWeight = 3
 )
 
 // newPlatformNode returns a platformNode; serve starts it. The function droppedLogLines
@@ -108,7 +104,6 @@
 		Logger: logger,
 	}
 	n.fleet = placement.New(settings.Region, n.entryPosition,
-		placement.WithLocalRegionWeight(localRegionWeight, uploadLocalRegionWeight),
 		placement.WithColdRateLimit(func() (factor, slack float64) {
 			bounds := n.settings.Load().Bounds
 			return bounds.ColdFactor, bounds.ColdSlack
