entry/placement: uploads prefer the own failure domain where it has slots

Change: uploads go to the own failure domain as far as its slots go, by the rule of the regions, from 6 slots on. The first server of another failure domain is always compared. Ruled out: the same for all requests. Test: TestUploadsStayInTheirFailureDomain.

--- a/entry/placement/placement.go
+++ b/entry/placement/placement.go
@@ -32,8 +32,8 @@
 	byService map[string][]*serverRecord
 	// regions is the set of the regions of all servers.
 	regions map[string]bool
-	// regionWeights is keyed by the name of the service.
-	regionWeights map[string]regionWeights
+	// weights caches the results of slotWeights.
+	weights map[slotWeightsKey]cachedSlotWeights
 	// evacuated is the set of evacuated failure domains.
 	evacuated map[string]bool
 	// serviceSettings is keyed by the name of the service.
@@ -68,6 +68,8 @@
 
 // options holds the values that an Option sets.
 type options struct {
+	// failureDomain is set by WithFailureDomain.
+	failureDomain string
 	// coldRateLimit is set by WithColdRateLimit.
 	coldRateLimit func() (factor, slack float64)
 }
@@ -75,6 +77,11 @@
 // Option configures a Fleet.
 type Option func(*options)
 
+// WithFailureDomain sets the failure domain of the entry, which its uploads prefer.
+func WithFailureDomain(name string) Option {
+	return func(o *options) { o.failureDomain = name }
+}
+
 // WithColdRateLimit sets the limit for the requests per second that all entries
 // together send to a cold server: the ColdRateLimit of its service, multiplied by
 // factor, plus slack.
@@ -93,7 +100,7 @@
 		servers:         make(map[string]*serverRecord),
 		byService:       make(map[string][]*serverRecord),
 		regions:         make(map[string]bool),
-		regionWeights:   make(map[string]regionWeights),
+		weights:         make(map[slotWeightsKey]cachedSlotWeights),
 		evacuated:       make(map[string]bool),
 		serviceSettings: make(map[string]*routing.Service),
 		serviceTimes:    make(map[string]*serviceTimeEstimate),
@@ -219,19 +226,20 @@
 	if len(ranked) == 0 {
 		return Choice{}, RefusalNoServer
 	}
-	best, bestLatency, considered, consideredOther := -1, time.Duration(0), 0, false
+	best, bestLatency := -1, time.Duration(0)
+	candidates := candidateFilter{
+		fleet: f,
+	}
 	for rank, server := range ranked {
-		other := server.Region != f.Region
-		if considered >= maxCandidates && !other || f.load(server, now) >= maxLoad*float64(server.Slots) || !f.withinColdRateLimit(server, now) {
+		if !candidates.wants(server) || f.load(server, now) >= maxLoad*float64(server.Slots) || !f.withinColdRateLimit(server, now) {
 			continue
 		}
-		consideredOther = consideredOther || other
 		latency := f.expectedLatency(request, server, rank, now)
 		if best < 0 || latency < bestLatency {
 			best, bestLatency = rank, latency
 		}
-		considered++
-		if considered >= maxCandidates && consideredOther {
+		candidates.add(server)
+		if candidates.complete() {
 			break
 		}
 	}
@@ -257,6 +265,36 @@
 	return choice, RefusalNone
 }
 
+// candidateFilter selects the servers of an object's order that are compared: the first
+// maxCandidates, and the first of another failure domain and of another region, which have
+// room when those of the own have none. All entries overflow to the same servers, which so
+// come to have the object warm.
+type candidateFilter struct {
+	fleet *Fleet
+	// count is the number of servers that were added, and otherDomain and otherRegion report
+	// whether one of another failure domain and of another region was among them.
+	count                    int
+	otherDomain, otherRegion bool
+}
+
+// wants reports whether the next server in the order is to be compared.
+func (c *candidateFilter) wants(server *serverRecord) bool {
+	return c.count < maxCandidates || !c.otherDomain && server.FailureDomain != c.fleet.options.failureDomain ||
+		!c.otherRegion && server.Region != c.fleet.Region
+}
+
+// add records that a server is compared.
+func (c *candidateFilter) add(server *serverRecord) {
+	c.count++
+	c.otherDomain = c.otherDomain || server.FailureDomain != c.fleet.options.failureDomain
+	c.otherRegion = c.otherRegion || server.Region != c.fleet.Region
+}
+
+// complete reports whether no further server is to be compared.
+func (c *candidateFilter) complete() bool {
+	return c.count >= maxCandidates && c.otherDomain && c.otherRegion
+}
+
 // newChoice returns a Choice with the state of a server.
 func (f *Fleet) newChoice(server *serverRecord, rank int, now time.Time) Choice {
 	choice := Choice{
--- a/entry/placement/rank.go
+++ b/entry/placement/rank.go
@@ -18,7 +18,7 @@
 		score   float64
 		failing bool
 	}
-	weights := f.regionWeightsFor(request.Service, now)
+	weights := f.slotWeights(request, now)
 	order := make([]scored, 0, len(servers))
 	failing := 0
 	for _, server := range servers {
@@ -34,7 +34,7 @@
 		}
 		order = append(order, scored{
 			server:  server,
-			score:   score(request.Object, server, weights[server.Region]),
+			score:   score(request.Object, server, weights[server.FailureDomain]),
 			failing: serverFailing,
 		})
 	}
@@ -75,7 +75,7 @@
 // score returns the weighted rendezvous score of a server for an object, by the logarithmic
 // method: the share of the objects for which a server has the highest score is proportional
 // to its weight. The weight is the server's number of slots, multiplied by the weight of a
-// slot in its region.
+// slot in its failure domain.
 func score(object uint64, server *serverRecord, slotWeight float64) float64 {
 	weight := float64(server.Slots) * slotWeight
 	// draw is a pseudorandom number in (0, 1), which depends on the object and the server.
