entry/presence: read the entries' rows seldom, announce to peers that are new

Change: the interval grows by 4 after each reading, up to a minute. An entry that reads rows of peers that it did not know sends them its addresses at once, so that they need not read.

--- a/entry/presence/presence.go
+++ b/entry/presence/presence.go
@@ -106,7 +106,8 @@
 	otherRegionSpacing = 25 * time.Millisecond
 	// addressInterval is the interval of the datagrams that contain this entry's addresses.
 	// A peer that does not know the entry yet learns the addresses from such a datagram
-	// sooner than from the store, since the peer's next read may be maxReadInterval away.
+	// sooner than from the store, since the peer's next read may be maxReadInterval away. An
+	// entry that reads the rows of peers it did not know also announces itself to them.
 	addressInterval = 6 * time.Second
 	// maxSameRegionInterval and maxOtherRegionInterval are the longest intervals of
 	// datagrams to a peer of this entry's region and to another peer.
@@ -121,10 +122,11 @@
 	// that is longer than minPeerTimeout.
 	peerTimeoutIntervals = 3
 	// minReadInterval and maxReadInterval bound the interval at which the rows are read.
-	// It doubles after each successful read and returns to minReadInterval after a
-	// failure.
-	minReadInterval = 1500 * time.Millisecond
-	maxReadInterval = 12 * time.Second
+	// It grows by readIntervalGrowth after each successful read and returns to
+	// minReadInterval after a failure.
+	minReadInterval    = 1500 * time.Millisecond
+	maxReadInterval    = time.Minute
+	readIntervalGrowth = 4
 	// storeTimeout is the timeout of a call to the store.
 	storeTimeout = 1500 * time.Millisecond
 	// maxDatagramBytes is the largest size of a datagram's payload. With its headers it
--- a/entry/presence/rows.go
+++ b/entry/presence/rows.go
@@ -22,7 +22,10 @@
 			written = err == nil
 		}
 		if err == nil {
-			err = t.readRows(ctx)
+			var added int
+			if added, err = t.readRows(ctx); added > 0 {
+				t.Announce()
+			}
 		}
 		switch {
 		case ctx.Err() != nil:
@@ -36,7 +39,7 @@
 		if failing {
 			interval = minReadInterval
 		} else {
-			interval = min(maxReadInterval, 2*interval)
+			interval = min(maxReadInterval, readIntervalGrowth*interval)
 		}
 		sleep(ctx, interval)
 	}
@@ -64,13 +67,13 @@
 // readRows adds the other entries that have a row to the peers. It replaces a known peer
 // only if the peer has timed out and its row is newer than the last one read. A peer that
 // is added or replaced counts as timed out until a datagram arrives from it, since a row
-// does not show that its entry is alive.
-func (t *Tracker) readRows(ctx context.Context) error {
+// does not show that its entry is alive. readRows returns the number of these peers.
+func (t *Tracker) readRows(ctx context.Context) (added int, err error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	table, err := t.Store.ReadTable(ctx, entriesTable)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	self := t.Self().Name
 	now := time.Now()
@@ -90,6 +93,7 @@
 			Entry:      entryOf(&message),
 			rowVersion: row.Version,
 		}
+		added++
 	}
-	return nil
+	return added, nil
 }
