entry/registry: one entry of a region reads the store for the others

Change: from four serving entries of a region on, the first by name reads the store, and the others ask it over HTTP. Each answer says how long ago the store confirmed it. An entry whose last confirmation is older than 0.95 of the pause that it would make between two calls asks the store itself, so the bound on news is the one that held before. Also then, for three seconds, if the reader fails. Calls that failed at the reader count for the grace of missing registrations. The case in which the store is silent for the reader failed with a fixed wait at the reader, by up to 0.8 of the pause.

--- a/entry/platform_node.go
+++ b/entry/platform_node.go
@@ -41,6 +41,8 @@
 	pool *upstream.Pool
 	// registry follows the routes and registrations in the platform's store.
 	registry *registry.Registry
+	// readerClient asks the entry that reads the store for this one.
+	readerClient *http.Client
 	// tracker exchanges state with the other entries.
 	tracker *presence.Tracker
 	// gateway forwards callers' requests.
@@ -96,6 +98,7 @@
 		droppedLogLines: droppedLogLines,
 		metrics:         metrics.NewRegistry(),
 	}
+	n.readerClient = newReaderClient()
 	n.settings.Store(&settings)
 	n.suspects.FailureLimit = quarantineFailureLimit
 	n.tracker = &presence.Tracker{
@@ -104,6 +107,7 @@
 		Logger: logger,
 	}
 	n.fleet = placement.New(settings.Region, n.entryPosition,
+		placement.WithFailureDomain(settings.FailureDomain),
 		placement.WithColdRateLimit(func() (factor, slack float64) {
 			bounds := n.settings.Load().Bounds
 			return bounds.ColdFactor, bounds.ColdSlack
@@ -133,6 +137,7 @@
 		OnDoubtfulServers: n.fleet.SetDoubtful,
 		Logger:            logger,
 		SnapshotSources:   n.snapshotSources,
+		FindReader:        n.findReader,
 	}
 	n.gateway = &gateway.Gateway{
 		HeaderNames:   platform.HeaderNames,
--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -56,7 +56,11 @@
 	// SnapshotSources returns functions that each fetch a snapshot from another
 	// entry. A starting entry uses them while the store does not answer.
 	SnapshotSources func() []func(context.Context) (Snapshot, error)
-	Logger          *log.Logger
+	// FindReader returns the reader of this entry: the entry that reads the store for it. It
+	// returns nil if this entry reads the store itself, and then whether it also does so for
+	// others. If FindReader is nil, each entry reads for itself.
+	FindReader func() (reader Reader, forOthers bool)
+	Logger     *log.Logger
 
 	configuration atomic.Pointer[routing.Configuration]
 	serversLoaded atomic.Bool
@@ -78,8 +82,13 @@
 	// registrationGrace of lastServerTableFailure. The values are the times at which that
 	// was noticed, and are not used.
 	missing map[string]time.Time
-	// lastServerTableFailure is the time of the last failed call for the server table.
+	// lastServerTableFailure is the time of the last failed call for the server table, of
+	// this entry or its reader.
 	lastServerTableFailure time.Time
+	// logs holds the recent changes by table.
+	logs map[string]*tableLog
+	// readerRetryAt is when the reader may be asked again.
+	readerRetryAt time.Time
 }
 
 const (
@@ -126,8 +135,8 @@
 	table string
 	// longPoll is how long the store may hold a call until a row changes.
 	longPoll time.Duration
-	// pollPause returns the pause after a successful call; nil stands for no pause.
-	pollPause func() time.Duration
+	// pauses reports whether there is a pause after a successful call.
+	pauses bool
 	// replace is called with all rows of the table after a full read, and apply with
 	// the changed and removed rows after a long poll.
 	replace func([]platform.StoreRow)
@@ -146,12 +155,12 @@
 
 func (r *Registry) serverWatch() tableWatch {
 	return tableWatch{
-		store:     r.ServerStore,
-		table:     platform.ServerTable,
-		longPoll:  r.longPoll(),
-		pollPause: r.ServerPollPause,
-		replace:   r.replaceServerRows,
-		apply:     r.applyServerRows,
+		store:    r.ServerStore,
+		table:    platform.ServerTable,
+		longPoll: r.longPoll(),
+		pauses:   true,
+		replace:  r.replaceServerRows,
+		apply:    r.applyServerRows,
 	}
 }
 
@@ -169,7 +178,17 @@
 	delay := time.Duration(0)
 	for ctx.Err() == nil {
 		var err error
-		version, loaded, err = r.poll(ctx, watched, version, loaded)
+		relayed := false
+		if loaded {
+			version, relayed, err = r.pollReader(ctx, watched, version)
+			if errors.Is(err, platform.ErrHistoryGone) {
+				loaded = false
+			}
+		}
+		if !relayed || !loaded {
+			relayed = false
+			version, loaded, err = r.poll(ctx, watched, version, loaded)
+		}
 		if err != nil && ctx.Err() == nil {
 			if !failing {
 				r.Logger.Warn().Str("event", "store-lost").Str("table", watched.table).Err(err).Msg("")
@@ -185,12 +204,25 @@
 		}
 		r.recordSuccess(watched.table)
 		delay = 0
-		if watched.pollPause != nil {
-			sleep(ctx, watched.pollPause())
+		if !relayed {
+			sleep(ctx, r.pollPause(watched))
 		}
 	}
 }
 
+// pollPause returns the pause after a successful call of the store for a table. A reader
+// pauses for less, because the entries that it reads for learn of changes later. An entry
+// that has a reader asks that next, without a pause.
+func (r *Registry) pollPause(watched tableWatch) time.Duration {
+	switch {
+	case !watched.pauses || r.currentReader() != nil:
+		return 0
+	case r.readsForOthers():
+		return time.Duration(readerPauseShare * float64(r.ServerPollPause()))
+	}
+	return r.ServerPollPause()
+}
+
 // poll does one full read of a table if it is not loaded, else one long poll for the
 // changes after version. It returns the new version and whether the
 // table is loaded. If the store no longer has the changes since version, the table
@@ -209,12 +241,20 @@
 			return version, false, err
 		}
 		watched.replace(contents.Rows)
+		r.logReplaced(watched.table, contents.Version)
 		return contents.Version, true, nil
 	}
 	wait := watched.longPoll
 	if watched.table == platform.ServerTable {
 		wait = min(wait, r.maxServerLongPoll())
 	}
+	if r.readsForOthers() {
+		share := readerPollShare
+		if !watched.pauses {
+			share += readerPauseShare
+		}
+		wait = min(wait, time.Duration(share*float64(r.ServerPollPause())))
+	}
 	changes, err := watched.store.ReadChanges(ctx, watched.table, version, wait)
 	if errors.Is(err, platform.ErrHistoryGone) {
 		r.Logger.Info().Str("event", "history-gone").Str("table", watched.table).Uint64("version", version).Msg("")
@@ -225,6 +265,7 @@
 		return version, loaded, err
 	}
 	watched.apply(changes.Rows)
+	r.logChanged(watched.table, changes.Rows, changes.Version, time.Now())
 	return max(version, changes.Version), true, nil
 }
 
@@ -240,9 +281,10 @@
 	return max(0, registrationGrace-time.Since(r.lastServerTableFailure))
 }
 
-// recordFailure records the time of a failed call for the server table. It ignores the
-// operator table, which has no grace period.
+// recordFailure records a failed call for a table, and its time if it is the server table. The
+// operator table has no grace period.
 func (r *Registry) recordFailure(table string) {
+	r.logFailed(table)
 	if table != platform.ServerTable {
 		return
 	}
--- a/entry/snapshot.go
+++ b/entry/snapshot.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/teaselstack/teaselstack/entry/registry"
+	"github.com/teaselstack/teaselstack/platform"
 )
 
 const (
@@ -24,10 +25,15 @@
 	maxSnapshotBytes = 16 << 20
 )
 
-// serveSnapshot sends this entry's snapshot of the store. Entries that start while the
-// store does not answer request it.
+// serveSnapshot sends this entry's snapshot of the store, or at changesPath the changes of a
+// table. Entries that start while the store does not answer request the snapshot.
 func (n *platformNode) serveSnapshot(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path != snapshotPath {
+	switch r.URL.Path {
+	case changesPath:
+		n.serveChanges(w, r)
+		return
+	case snapshotPath:
+	default:
 		http.NotFound(w, r)
 		return
 	}
@@ -70,23 +76,31 @@
 
 // fetchSnapshot fetches a snapshot from the entry at an address.
 func fetchSnapshot(ctx context.Context, client *http.Client, address string) (snapshot registry.Snapshot, err error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+snapshotPath, nil)
+	err = fetchFromEntry(ctx, client, "http://"+address+snapshotPath, &snapshot)
+	return snapshot, err
+}
+
+// fetchFromEntry fetches a URL of another entry and decodes the JSON content.
+func fetchFromEntry(ctx context.Context, client *http.Client, location string, target any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, location, nil)
 	if err != nil {
-		return snapshot, err
+		return err
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		return snapshot, err
+		return err
 	}
 	content, err := io.ReadAll(io.LimitReader(resp.Body, maxSnapshotBytes))
 	if closeErr := resp.Body.Close(); err == nil {
 		err = closeErr
 	}
-	if err != nil {
-		return snapshot, err
-	}
-	if resp.StatusCode != http.StatusOK {
-		return snapshot, errors.Errorf("fetch snapshot from entry %s: status %d", address, resp.StatusCode)
+	switch {
+	case err != nil:
+		return err
+	case resp.StatusCode == http.StatusGone:
+		return platform.ErrHistoryGone
+	case resp.StatusCode != http.StatusOK:
+		return errors.Errorf("fetch %s: status %d", location, resp.StatusCode)
 	}
-	return snapshot, json.Unmarshal(content, &snapshot)
+	return json.Unmarshal(content, target)
 }
