entry/upstream, platform: bound what is read of responses without end

Cause: http.ReadResponse collects a header without a bound, and a response to another request was skipped however long its body. Change: a response's header, and a body to be skipped, may have 64 KiB; then the attempt fails as one that may have run and the connection is closed. A connection on which a response to another request came is not used again, also if the own one followed. Ruled out for a second copy of a response, late: a caller that gets it. Responses are matched by ID (TestStrayResponseClosesConn, also in pieces before and after the next request was sent). Measured: the seven kinds end within 1 MB read.

entry: a stopping entry answers look-ups until its last request is answered

Before, all listeners were closed together.

--- a/entry/platform_network.go
+++ b/entry/platform_network.go
@@ -14,6 +14,10 @@
 	"github.com/teaselstack/teaselstack/platform"
 )
 
+// maxInternalHeaderBytes bounds the header of a response of the store or another entry, in
+// bytes.
+const maxInternalHeaderBytes = 64 << 10
+
 // keepAliveDialer opens TCP connections that fail soon after the remote side stops
 // responding: idle ones by keep-alive probes, those with unacknowledged data by
 // TCP_USER_TIMEOUT.
@@ -61,8 +65,9 @@
 			DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 				return dialer.dial(ctx, address)
 			},
-			MaxIdleConnsPerHost: 1,
-			DisableCompression:  true,
+			MaxIdleConnsPerHost:    1,
+			MaxResponseHeaderBytes: maxInternalHeaderBytes,
+			DisableCompression:     true,
 		},
 	})
 	store.OnCall = func(call, outcome string) {
--- a/entry/platform_node.go
+++ b/entry/platform_node.go
@@ -355,7 +355,8 @@
 // shutdown keeps accepting requests for lameDuckTime, or half of the grace period if that
 // is shorter, while callers move to other entries. It then stops reading requests, closes
 // the listeners and waits until the requests that were read are answered, or the grace
-// period, less exitMargin, is over.
+// period, less exitMargin, is over. servers are shut down in order, that for callers first:
+// until its end, the entry answers look-ups, with the addresses of the others.
 func (n *platformNode) shutdown(grace time.Duration, servers []*http.Server) {
 	n.logger.Info().Str("event", "stopping").Int64("in-flight", n.gateway.InFlight()).Int64("grace-ms", grace.Milliseconds()).Msg("")
 	ctx, cancel := context.WithTimeout(context.Background(), grace-exitMargin)
@@ -366,15 +367,11 @@
 	if err := n.pipeline.Drain(ctx); err != nil {
 		n.logger.Warn().Str("event", "drain-incomplete").Int("outstanding", n.pipeline.Outstanding()).Err(err).Msg("")
 	}
-	var group sync.WaitGroup
 	for _, server := range servers {
-		group.Go(func() {
-			if err := server.Shutdown(ctx); err != nil {
-				n.logger.Warn().Str("event", "stopped-early").Int64("in-flight", n.gateway.InFlight()).Err(err).Msg("")
-			}
-		})
+		if err := server.Shutdown(ctx); err != nil {
+			n.logger.Warn().Str("event", "stopped-early").Int64("in-flight", n.gateway.InFlight()).Err(err).Msg("")
+		}
 	}
-	group.Wait()
 }
 
 const (
--- a/entry/reader.go
+++ b/entry/reader.go
@@ -41,8 +41,9 @@
 				return dialer.dial(ctx, address)
 			},
 			// One connection for each table.
-			MaxIdleConnsPerHost: 2,
-			DisableCompression:  true,
+			MaxIdleConnsPerHost:    2,
+			MaxResponseHeaderBytes: maxInternalHeaderBytes,
+			DisableCompression:     true,
 		},
 	}
 }
--- a/entry/snapshot.go
+++ b/entry/snapshot.go
@@ -56,7 +56,8 @@
 	client := &http.Client{
 		Timeout: snapshotTimeout,
 		Transport: &http.Transport{
-			DisableKeepAlives: true,
+			DisableKeepAlives:      true,
+			MaxResponseHeaderBytes: maxInternalHeaderBytes,
 			DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 				return dialer.dial(ctx, address)
 			},
--- a/entry/upstream/upstream.go
+++ b/entry/upstream/upstream.go
@@ -8,6 +8,7 @@
 	"bufio"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -67,6 +68,9 @@
 	// request's ID. Interim (1xx) responses and those to other requests are included
 	// in the count.
 	maxResponsesRead = 4
+	// maxHeaderBytes is the maximum size of a response's header, in bytes, and of the body
+	// of a response to another request, which is skipped.
+	maxHeaderBytes = 64 << 10
 )
 
 // pooledConn is a connection to a backend server with its buffers. It is in the pool
@@ -75,10 +79,33 @@
 	net.Conn
 	reader *bufio.Reader
 	writer *bufio.Writer
+	// limit bounds what reader may still read from the connection.
+	limit *readLimit
 	// expires is the time after which the idle connection may no longer be reused.
 	expires time.Time
 }
 
+// readLimit is a reader of a connection that fails once it has read a number of bytes. A
+// faulty server may send bytes without end, in a place where they would be collected.
+type readLimit struct {
+	conn net.Conn
+	left int64
+}
+
+// errTooLong is the error of a response whose header, or a body to be skipped, exceeds
+// maxHeaderBytes.
+var errTooLong = errors.New("response is too long")
+
+// Read reads from the connection.
+func (r *readLimit) Read(p []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, errTooLong
+	}
+	count, err := r.conn.Read(p[:min(int64(len(p)), r.left)])
+	r.left -= int64(count)
+	return count, err
+}
+
 // ErrServerNotEligible is the failure of an exchange whose server was no longer
 // eligible for requests once a connection to it was open. See Pool.Eligible.
 var ErrServerNotEligible = errors.New("server became ineligible for requests while connecting")
@@ -204,7 +231,7 @@
 	} else {
 		sending.Go(send)
 	}
-	httpResponse, failure := p.readResponse(conn, request, id)
+	httpResponse, stray, failure := p.readResponse(conn, request, id)
 	if failure != nil {
 		conn.discard()
 		sending.Wait()
@@ -229,7 +256,8 @@
 			fullySent = sendErr == nil
 		default:
 		}
-		if !fullySent || response.Remainder != nil || httpResponse.Close || conn.reader.Buffered() > 0 {
+		// A server that has sent a response to another request may send more of them.
+		if stray || !fullySent || response.Remainder != nil || httpResponse.Close || conn.reader.Buffered() > 0 {
 			conn.discard()
 			sending.Wait()
 			return
@@ -240,27 +268,32 @@
 }
 
 // readResponse reads up to maxResponsesRead responses until it finds the one with the
-// request's ID.
-func (p *Pool) readResponse(conn *pooledConn, request *http.Request, id string) (*http.Response, *Failure) {
+// request's ID. stray reports whether one of another request came before it.
+func (p *Pool) readResponse(conn *pooledConn, request *http.Request, id string) (response *http.Response, stray bool, failure *Failure) {
 	for range maxResponsesRead {
+		conn.limit.left = maxHeaderBytes
 		response, err := http.ReadResponse(conn.reader, request)
 		if err != nil {
-			return nil, &Failure{
-				MaybeSent: true,
-				Err:       errors.Wrap(err, "read answer"),
+			return nil, stray, &Failure{
+				MaybeSent:        true,
+				ResponseMismatch: stray,
+				Err:              errors.Wrap(err, "read answer"),
 			}
 		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
 		if response.Header.Get(p.HeaderNames.RequestID) == id {
-			return response, nil
+			conn.limit.left = math.MaxInt64
+			return response, stray, nil
 		}
+		stray = true
+		conn.limit.left = maxHeaderBytes
 		if _, err := io.Copy(io.Discard, response.Body); err != nil || response.Close {
 			break
 		}
 	}
-	return nil, &Failure{
+	return nil, stray, &Failure{
 		MaybeSent:        true,
 		ResponseMismatch: true,
 		Err:              errors.New("read answer: none of the responses has the request's ID"),
@@ -309,9 +342,13 @@
 	if err != nil {
 		return nil, false, err
 	}
+	limit := &readLimit{
+		conn: opened,
+	}
 	return &pooledConn{
 		Conn:   opened,
-		reader: bufio.NewReaderSize(opened, 4<<10),
+		limit:  limit,
+		reader: bufio.NewReaderSize(limit, 4<<10),
 		writer: bufio.NewWriterSize(opened, 4<<10),
 	}, false, nil
 }
--- a/entry/upstream/upstream_test.go
+++ b/entry/upstream/upstream_test.go
@@ -9,7 +9,9 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -167,6 +169,172 @@
 	}
 }
 
+// endlessConn is the client's end of a connection whose server sends a text, and then a
+// filler without end.
+type endlessConn struct {
+	net.Conn
+	text   string
+	filler string
+	// received counts the bytes that the client has received.
+	received atomic.Int64
+	closed   atomic.Bool
+}
+
+func (c *endlessConn) Read(p []byte) (int, error) {
+	if c.closed.Load() {
+		return 0, net.ErrClosed
+	}
+	count := copy(p, c.text)
+	c.text = c.text[count:]
+	for count < len(p) {
+		count += copy(p[count:], c.filler)
+	}
+	c.received.Add(int64(count))
+	return count, nil
+}
+
+func (c *endlessConn) Write(p []byte) (int, error) { return len(p), nil }
+
+func (c *endlessConn) SetDeadline(time.Time) error { return nil }
+
+func (c *endlessConn) Close() error {
+	c.closed.Store(true)
+	return nil
+}
+
+// TestResponsesWithoutEnd lets a server send bytes without end that are no response. Exchange
+// must fail after a bounded number of bytes, say that the request may have run, and close the
+// connection.
+func TestResponsesWithoutEnd(t *testing.T) {
+	const maxReceived = 1 << 20
+	for _, test := range []struct {
+		name   string
+		text   string
+		filler string
+	}{
+		{
+			name:   "status line",
+			filler: "x",
+		},
+		{
+			name:   "header field",
+			text:   "HTTP/1.1 200 OK\r\nX-Junk: ",
+			filler: "x",
+		},
+		{
+			name:   "header fields",
+			text:   "HTTP/1.1 200 OK\r\n",
+			filler: "X-Junk: 1\r\n",
+		},
+		{
+			name:   "interim responses",
+			filler: "HTTP/1.1 102 Processing\r\n\r\n",
+		},
+		{
+			name:   "responses to other requests",
+			filler: "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 1\r\n\r\nx",
+		},
+		{
+			name:   "body of a response to another request",
+			text:   "HTTP/1.1 200 OK\r\nX-Id: other\r\n\r\n",
+			filler: "x",
+		},
+		{
+			name:   "chunks of a response to another request",
+			text:   "HTTP/1.1 200 OK\r\nX-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n",
+			filler: "1\r\nx\r\n",
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			conn := &endlessConn{
+				text:   test.text,
+				filler: test.filler,
+			}
+			pool := &upstream.Pool{
+				HeaderNames: header.Names{
+					RequestID: "X-Id",
+				},
+				MaxIdlePerServer: func(string) int { return 4 },
+				Dial:             func(context.Context, string) (net.Conn, error) { return conn, nil },
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			_, failure := pool.Exchange(ctx, &routing.Server{}, newRequest("one", "x"), "one")
+			assert.Assert(t, failure != nil && failure.MaybeSent)
+			assert.NilError(t, ctx.Err())
+			assert.Assert(t, conn.received.Load() <= maxReceived, "%d bytes were received", conn.received.Load())
+			assert.Assert(t, conn.closed.Load())
+		})
+	}
+}
+
+// TestBodyWithoutEnd checks that a response whose body has no end is returned with a buffered
+// prefix of bounded size, and that the connection is closed when it is released.
+func TestBodyWithoutEnd(t *testing.T) {
+	conn := &endlessConn{
+		text:   "HTTP/1.1 200 OK\r\nX-Id: one\r\n\r\n",
+		filler: "x",
+	}
+	pool := &upstream.Pool{
+		HeaderNames: header.Names{
+			RequestID: "X-Id",
+		},
+		MaxIdlePerServer: func(string) int { return 4 },
+		Dial:             func(context.Context, string) (net.Conn, error) { return conn, nil },
+	}
+	response, failure := pool.Exchange(t.Context(), &routing.Server{}, newRequest("one", "x"), "one")
+	assert.Assert(t, failure == nil)
+	assert.Equal(t, len(response.Prefix), 256<<10)
+	assert.Assert(t, response.Remainder != nil && conn.received.Load() <= 1<<20)
+	response.Release()
+	assert.Assert(t, conn.closed.Load())
+}
+
+// TestStrayResponseClosesConn checks that a connection is not reused after a server has sent
+// a second copy of a response on it, at once or in pieces around the next request, and that
+// the next caller gets its own response.
+func TestStrayResponseClosesConn(t *testing.T) {
+	for _, cut := range []int{0, 1, 20, len(responseText("one", "own one")) - 1} {
+		copied := responseText("one", "own one")
+		first, second := copied[:cut], copied[cut:]
+		exchanged := make(chan bool)
+		pool, server := newServer(t, func(conn net.Conn, reader *bufio.Reader) {
+			for pending := ""; ; {
+				request, err := http.ReadRequest(reader)
+				if err != nil {
+					return
+				}
+				// The copy of the last response arrives while the body is on its way.
+				io.WriteString(conn, pending)
+				io.Copy(io.Discard, request.Body)
+				id := request.Header.Get("X-Id")
+				io.WriteString(conn, responseText(id, "own "+id))
+				if id == "one" {
+					<-exchanged
+					io.WriteString(conn, first)
+					pending = second
+					exchanged <- true
+				}
+			}
+		})
+		for i, id := range []string{"one", "two", "three"} {
+			response, failure := pool.Exchange(t.Context(), server, newRequest(id, strings.Repeat("x", 100)), id)
+			assert.Assert(t, failure == nil, "cut %d, %s: %v", cut, id, failure)
+			assert.Equal(t, string(response.Prefix), "own "+id)
+			reused := response.ConnectTime == 0
+			// The copy, or its first piece, arrives on the first connection before request two
+			// if it is cut, and with that request otherwise.
+			mayReuse := i == 1 && cut == 0 || i == 2 && cut > 0
+			assert.Assert(t, !reused || mayReuse, "cut %d: the connection was reused for %s", cut, id)
+			response.Release()
+			if id == "one" {
+				exchanged <- true
+				<-exchanged
+			}
+		}
+	}
+}
+
 // FuzzResponse lets a server send arbitrary bytes as the response. Exchange must
 // either fail or return a response with the request's ID.
 func FuzzResponse(f *testing.F) {
