standin: pipelining callers, repeated and endless responses, a region with a reader

The deployment of real processes in standin/gate gets two more entries, so that one entry of region north reads the store for the others, and callers that send four requests at once, the third one unsafe. New faults of the soak: servers that send a response twice on a connection, and servers that send bytes without end in a header or a body.

--- a/standin/gate/deployment_test.go
+++ b/standin/gate/deployment_test.go
@@ -3,6 +3,7 @@
 package gate_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -63,6 +64,9 @@
 	{"north-a", "north"},
 	{"north-b", "north"},
 	{"south-a", "south"},
+	// With these, one of the entries in north reads the store for the others.
+	{"north-c", "north"},
+	{"north-d", "north"},
 }
 
 // deployment holds the processes and stand-ins of one running deployment, and
@@ -384,6 +388,77 @@
 	}
 }
 
+// runPipeliningCaller is like runCaller, but sends several requests at once on each
+// connection, and makes a new connection after that.
+func (d *deployment) runPipeliningCaller(ctx context.Context, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 2))
+	client := &http.Client{
+		Timeout: 4 * time.Second,
+	}
+	defer client.CloseIdleConnections()
+	for number := 0; ctx.Err() == nil; number++ {
+		if address := d.lookUp(client, random); address != "" {
+			d.sendPipelined(address, fmt.Sprintf("p%d-%d", seed, number), random)
+		}
+		sleep(ctx, time.Duration(random.IntN(int(80*time.Millisecond))))
+	}
+}
+
+// sendPipelined sends four requests to an entry at once, the third one to the unsafe route
+// book, and checks the responses. Requests behind a response that closes the connection count
+// as not sent.
+func (d *deployment) sendPipelined(address, id string, random *rand.Rand) {
+	conn, err := net.DialTimeout("tcp4", address, time.Second)
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Now().Add(6 * time.Second)); err != nil {
+		d.recordViolation("request %s: %v", id, err)
+		return
+	}
+	var data strings.Builder
+	paths := []string{"GET /browse/", "GET /browse/", "POST /book/", "GET /browse/"}
+	for i, path := range paths {
+		fmt.Fprintf(&data, "%s HTTP/1.1\r\nHost: desk.example\r\n%s: %s-%d\r\n%s: 4000\r\nCookie: %s=%d\r\nContent-Length: 0\r\n\r\n",
+			path, platform.HeaderNames.RequestID, id, i, platform.HeaderNames.DeadlineMS, platform.HeaderNames.ObjectCookie, random.IntN(30))
+	}
+	if _, err := io.WriteString(conn, data.String()); err != nil {
+		return
+	}
+	d.sent.Add(int64(len(paths)))
+	reader := bufio.NewReader(conn)
+	for i := range paths {
+		requestID := fmt.Sprintf("%s-%d", id, i)
+		resp, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			return
+		}
+		content, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		switch {
+		case resp.StatusCode == http.StatusOK && err == nil && (string(content) != server.ResponseBody(requestID) || resp.Header.Get(platform.HeaderNames.ResponseStamp) == ""):
+			d.recordViolation("request %s got %q", requestID, content)
+		case resp.StatusCode == http.StatusOK && err == nil:
+			d.served.Add(1)
+		case resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests:
+			d.mu.Lock()
+			d.refused = append(d.refused, requestID)
+			d.mu.Unlock()
+		}
+		if d.recorder.Runs(requestID) > 1 && i == 2 {
+			d.recordViolation("request %s ran %d times", requestID, d.recorder.Runs(requestID))
+		}
+		if resp.Close {
+			d.sent.Add(int64(i + 1 - len(paths)))
+			return
+		}
+	}
+}
+
+// pipeliningCallerCount is the number of callers in underLoad that pipeline requests.
+const pipeliningCallerCount = 2
+
 // recordViolation records that a guarantee was broken; underLoad reports it.
 func (d *deployment) recordViolation(format string, args ...any) {
 	d.mu.Lock()
@@ -402,6 +477,9 @@
 	for i := range callers {
 		callerGroup.Go(func() { d.runCaller(ctx, uint64(i)) })
 	}
+	for i := range pipeliningCallerCount {
+		callerGroup.Go(func() { d.runPipeliningCaller(ctx, uint64(i)) })
+	}
 	scenario()
 	stop()
 	callerGroup.Wait()
--- a/standin/gate/soak_test.go
+++ b/standin/gate/soak_test.go
@@ -126,6 +126,25 @@
 			}
 		}
 	},
+	func(d *deployment, random *rand.Rand) (string, func()) {
+		first := random.IntN(len(d.servers))
+		fault := server.Fault{
+			RepeatedResponseShare: 0.5 * random.Float64(),
+			EndlessShare:          0.2 * random.Float64(),
+		}
+		affected := []*server.Server{
+			d.servers[first],
+			d.servers[(first+4)%len(d.servers)],
+		}
+		for _, backend := range affected {
+			backend.SetFault(fault)
+		}
+		return fmt.Sprintf("two servers, first %d: %+v", first, fault), func() {
+			for _, backend := range affected {
+				backend.SetFault(server.Fault{})
+			}
+		}
+	},
 	func(d *deployment, _ *rand.Rand) (string, func()) {
 		d.publishConfiguration(fmt.Sprintf(`,{"name":"extra","prefix":"/extra-%d/","kind":"safe","service":"desk"}`, d.configurationVersion))
 		return "new configuration", func() {}
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -70,8 +70,18 @@
 	// ShedShare is the share of requests, from 0 to 1, that are refused without
 	// running.
 	ShedShare float64
+	// RepeatedResponseShare is the share of requests, from 0 to 1, whose response is sent a
+	// second time on the same connection, after up to maxRepeatDelay.
+	RepeatedResponseShare float64
+	// EndlessShare is the share of requests, from 0 to 1, that are answered with bytes without
+	// end, in a header or in a body, until the connection is closed.
+	EndlessShare float64
 }
 
+// maxRepeatDelay is the longest time until a response is sent a second time. It is longer than
+// a connection is mostly idle.
+const maxRepeatDelay = 60 * time.Millisecond
+
 // Server is one backend server. The exported fields must be set before Start.
 type Server struct {
 	// ID is the key of the registration in the store.
@@ -237,6 +247,10 @@
 		w.WriteHeader(http.StatusGatewayTimeout)
 	case rand.Float64() < fault.LostResponseShare:
 		panic(http.ErrAbortHandler)
+	case rand.Float64() < fault.EndlessShare:
+		s.sendEndless(w, id)
+	case rand.Float64() < fault.RepeatedResponseShare:
+		s.sendTwice(w, id)
 	default:
 		w.Header().Set(names.ResponseStamp, s.ID)
 		// The error is ignored: a caller that has disconnected needs no response.
@@ -244,6 +258,46 @@
 	}
 }
 
+// sendTwice sends the response to a request, and again after a while. Requests that arrive on
+// the connection meanwhile get no response.
+func (s *Server) sendTwice(w http.ResponseWriter, id string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	body := ResponseBody(id)
+	response := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
+		platform.HeaderNames.RequestID, id, platform.HeaderNames.ResponseStamp, s.ID, len(body), body)
+	for range 2 {
+		// An error says that the entry has closed the connection.
+		_, _ = io.WriteString(conn, response)
+		time.Sleep(rand.N(maxRepeatDelay))
+	}
+}
+
+// sendEndless sends bytes without end, until the connection is closed: a header without the
+// empty line behind it, or the body of a response that belongs to no request.
+func (s *Server) sendEndless(w http.ResponseWriter, id string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	begin := "HTTP/1.1 200 OK\r\n"
+	if rand.IntN(2) == 0 {
+		begin += fmt.Sprintf("%s: not-%s\r\n\r\n", platform.HeaderNames.RequestID, id)
+	}
+	_, err = io.WriteString(conn, begin)
+	filler := make([]byte, 4<<10)
+	for i := range filler {
+		filler[i] = 'x'
+	}
+	for err == nil {
+		_, err = conn.Write(filler)
+	}
+}
+
 // ResponseBody returns the body of the response to the request with an ID.
 func ResponseBody(id string) string { return "the answer to " + id }
 
