entry/placement: turns at cold servers follow the steady clock after the start

Change: the wall clock is read once, at the start. Not shown by a test: a time.Time with a stepped wall clock and a steady reading can't be built. Leases, ages and timeouts use the steady clock already.

--- a/entry/placement/cold.go
+++ b/entry/placement/cold.go
@@ -20,7 +20,8 @@
 
 // coldTurn returns the number of this entry's last turn at a cold server and whether
 // the turn is still open. Entries take turns by the wall clock, without exchanging
-// messages, and each sends at most one request per turn.
+// messages, and each sends at most one request per turn. The wall clock is read once, at
+// the start, and the steady clock from then on: a clock that steps would add turns.
 //
 // A turn lasts one second, so a window of one second overlaps all turns that begin
 // within a span of two seconds: at most 2r+1 turns if r begin per second. Turns
@@ -37,7 +38,7 @@
 	offset := cycle / time.Duration(count) * time.Duration(index)
 	// Servers that become cold together have their turns at different times.
 	offset += time.Duration(server.hash % uint64(cycle))
-	elapsed := now.UnixNano() - int64(offset)
+	elapsed := f.startedAt.UnixNano() + int64(now.Sub(f.startedAt)) - int64(offset)
 	return elapsed / int64(cycle), elapsed%int64(cycle) < int64(coldTurnLength)
 }
 
--- a/entry/placement/placement.go
+++ b/entry/placement/placement.go
@@ -25,7 +25,9 @@
 	OnStateChange func(server *routing.Server, state ServerState, cause string)
 
 	options options
-	mu      sync.Mutex
+	// startedAt is when New was called.
+	startedAt time.Time
+	mu        sync.Mutex
 	// servers is keyed by server ID. byService holds the same servers, keyed by the
 	// name of the service and ordered by ID.
 	servers   map[string]*serverRecord
@@ -94,6 +96,7 @@
 	fleet := &Fleet{
 		Region:        region,
 		EntryPosition: entryPosition,
+		startedAt:     time.Now(),
 		options: options{
 			coldRateLimit: func() (factor, slack float64) { return 1, 0 },
 		},
