--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -354,6 +354,39 @@
 	})
 }
 
+// TestSilentServerKeepsItsRequest lets a server be silent while it runs a request, and while its
+// registration is in doubt, is removed or says that it drains.
+// The request must not be sent again, also if it is idempotent, and the caller must get the
+// late answer.
+func TestSilentServerKeepsItsRequest(t *testing.T) {
+	respondLate := func(h *harness, server string, conn net.Conn, request *http.Request) bool {
+		time.Sleep(1500 * time.Millisecond)
+		return respondOK(h, server, conn, request)
+	}
+	draining := testServer("a", 0)
+	draining.Draining = true
+	for name, lose := range map[string]func(h *harness){
+		"silent":   func(*harness) {},
+		"doubtful": func(h *harness) { h.gateway.Fleet.SetDoubtful([]string{"a"}) },
+		"removed":  func(h *harness) { h.gateway.Fleet.Remove([]string{"a"}) },
+		"draining": func(h *harness) { h.gateway.Fleet.Update([]routing.Server{draining}) },
+	} {
+		for _, path := range []string{"/browse/1", "/book/1"} {
+			withHarness(t, respondLate, []string{"a"}, func(t *testing.T, h *harness) {
+				h.group.Go(func() {
+					time.Sleep(300 * time.Millisecond)
+					lose(h)
+					h.gateway.Fleet.Update([]routing.Server{testServer("b", 0)})
+				})
+				response, aborted := h.send(newRequest(http.MethodPost, path, "r1", "x"))
+				assert.Assert(t, !aborted)
+				assert.Equal(t, response.Code, http.StatusOK, "%s, %s", name, path)
+				assert.Equal(t, h.receivedCount(), 1, "%s, %s", name, path)
+			})
+		}
+	}
+}
+
 // TestServerErrorIsForwardedWithoutAlternative checks that the caller gets a server's
 // error response, with its status and stamp, if no other server can take a retry.
 func TestServerErrorIsForwardedWithoutAlternative(t *testing.T) {
