--- a/entry/gateway/forward.go
+++ b/entry/gateway/forward.go
@@ -80,11 +80,20 @@
 	case g.Quarantine.Quarantined(req.digest):
 		return outcome.ReasonQuarantined
 	case time.Until(req.responseDeadline) < minTimeToSend || ctx.Err() != nil:
-		return outcome.ReasonDeadline
+		return endReason(req)
 	}
 	return ""
 }
 
+// endReason returns why there is no more time for a request: its caller has left, or its
+// deadline has expired.
+func endReason(req *proxyRequest) outcome.Reason {
+	if req.incoming.Context().Err() != nil {
+		return outcome.ReasonCanceled
+	}
+	return outcome.ReasonDeadline
+}
+
 // chooseServer lets placement choose a server and reports whether it did. If placement
 // refused the request, chooseServer records the best candidate, and the reason if
 // nothing was sent before.
@@ -282,7 +291,7 @@
 		}
 		return
 	case ctx.Err() != nil:
-		result.reason = outcome.ReasonDeadline
+		result.reason = endReason(req)
 		result.signal = placement.SignalNone
 	case req.body.readError() != nil:
 		result.reason = outcome.ReasonBodyBroken
@@ -324,6 +333,7 @@
 		result.mayHaveRun && !req.idempotent(),
 		!req.body.replayable(),
 		result.reason == outcome.ReasonDeadline,
+		result.reason == outcome.ReasonCanceled,
 		result.reason == outcome.ReasonBodyBroken:
 		return false
 	}
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -291,7 +291,8 @@
 }
 
 // TestCallerDisconnectEndsServerWork checks that the connection to the server is closed
-// when the caller disconnects, so that the server can cancel the request.
+// when the caller disconnects, so that the server can cancel the request, and that the log
+// says that the caller has left, not that the deadline has expired.
 func TestCallerDisconnectEndsServerWork(t *testing.T) {
 	ended := make(chan time.Time, 1)
 	neverRespond := func(_ *harness, _ string, conn net.Conn, _ *http.Request) bool {
@@ -306,6 +307,7 @@
 		_, aborted := h.send(newRequest(http.MethodGet, "/browse/1", "r1", "").WithContext(callerCtx))
 		assert.Assert(t, aborted)
 		assert.Equal(t, (<-ended).Sub(began), 300*time.Millisecond)
+		assert.Equal(t, strings.Count(h.logOutput.String(), `"reason":"canceled"`), 2, h.logOutput.String())
 	})
 }
 
