entry/upstream, entry/gateway: responses to HEAD have a length and no body

Cause: the length of a response to HEAD was read as a body, which does not follow; the attempt failed with "read answer: EOF" and the caller got 502 (TestHeadResponseKeepsItsLength, seen failing), and TestResponseToHead failed the same way. Change: no body is read, and the caller gets the stated length.

--- a/entry/gateway/forward.go
+++ b/entry/gateway/forward.go
@@ -374,7 +374,7 @@
 	for name, values := range response.Header {
 		responseHeader[name] = values
 	}
-	if response.Remainder == nil {
+	if response.Remainder == nil && req.incoming.Method != http.MethodHead {
 		responseHeader.Set("Content-Length", itoa(len(response.Prefix)))
 	} else if response.ContentLength >= 0 {
 		responseHeader.Set("Content-Length", itoa(int(response.ContentLength)))
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -56,6 +56,22 @@
 	})
 }
 
+// TestHeadResponseKeepsItsLength checks that the caller of a HEAD request gets the length that a
+// server's response states.
+func TestHeadResponseKeepsItsLength(t *testing.T) {
+	respondHead := func(_ *harness, _ string, conn net.Conn, request *http.Request) bool {
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Stamp: sound\r\nContent-Length: 17\r\n\r\n", request.Header.Get("X-Id"))
+		return err == nil
+	}
+	withHarness(t, respondHead, []string{"a"}, func(t *testing.T, h *harness) {
+		response, aborted := h.send(newRequest(http.MethodHead, "/browse/1", "r1", ""))
+		assert.Assert(t, !aborted)
+		assert.Equal(t, response.Code, http.StatusOK)
+		assert.Equal(t, response.Header().Get("Content-Length"), "17")
+		assert.Equal(t, response.Body.Len(), 0)
+	})
+}
+
 // TestTruncatedResponses closes the connection after each number of bytes of a server's
 // response that is less than the whole. The caller must never get a truncated success,
 // and a request that is not idempotent must not be retried.
--- a/entry/upstream/upstream.go
+++ b/entry/upstream/upstream.go
@@ -306,6 +306,10 @@
 	buffered := &Response{
 		Response: response,
 	}
+	if response.Request.Method == http.MethodHead {
+		// Its length is that of a body that does not follow.
+		return buffered, nil
+	}
 	var content []byte
 	if response.ContentLength >= 0 && response.ContentLength <= maxPrefixBytes {
 		content = make([]byte, response.ContentLength)
--- a/entry/upstream/upstream_test.go
+++ b/entry/upstream/upstream_test.go
@@ -142,6 +142,31 @@
 	}
 }
 
+// TestResponseToHead checks that the response to a HEAD request is returned without a body, with
+// the length that a body would have, and that the connection is reused.
+func TestResponseToHead(t *testing.T) {
+	pool, server := newServer(t, func(conn net.Conn, reader *bufio.Reader) {
+		for {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 300\r\n\r\n", request.Header.Get("X-Id"))
+		}
+	})
+	for i, id := range []string{"one", "two"} {
+		request, _ := http.NewRequest(http.MethodHead, "http://desk.example/browse/", nil)
+		request.Header.Set("X-Id", id)
+		response, failure := pool.Exchange(t.Context(), server, request, id)
+		assert.Assert(t, failure == nil, "%v", failure)
+		assert.Equal(t, len(response.Prefix), 0)
+		assert.Assert(t, response.Remainder == nil)
+		assert.Equal(t, response.Header.Get("Content-Length"), "300")
+		assert.Equal(t, response.ConnectTime == 0, i == 1)
+		response.Release()
+	}
+}
+
 // TestResponseDelimitedByClose sends a response without a length. It ends when the
 // server closes the connection; if the connection is reset, Exchange must fail.
 func TestResponseDelimitedByClose(t *testing.T) {
