--- a/entry/pipeline/conn.go
+++ b/entry/pipeline/conn.go
@@ -9,8 +9,6 @@
 	"net/http"
 	"sync"
 	"time"
-
-	"golang.org/x/net/http/httpguts"
 )
 
 // conn is a caller's connection. Its Read returns the bytes of one request at a time: the
@@ -300,24 +298,6 @@
 	return count
 }
 
-// headerEnd returns the position behind the first empty line of a header, or 0 if there is
-// none. The first known bytes are known not to complete such a line.
-func headerEnd(header []byte, known int) int {
-	for i := max(0, known-2); i < len(header); i++ {
-		if header[i] != '\n' {
-			continue
-		}
-		rest := header[i+1:]
-		if bytes.HasPrefix(rest, []byte("\n")) && i+2 > known {
-			return i + 2
-		}
-		if bytes.HasPrefix(rest, []byte("\r\n")) {
-			return i + 3
-		}
-	}
-	return 0
-}
-
 // setBody sets what follows the current request's header. c.mu must be held.
 func (c *conn) setBody(request *http.Request) {
 	switch {
@@ -331,11 +311,6 @@
 	c.header = c.header[:0]
 }
 
-// hasKnownSize reports whether the header of a request says where the request ends.
-func hasKnownSize(request *http.Request) bool {
-	return request.ProtoMajor == 1 && request.ProtoMinor >= 1 && len(request.TransferEncoding) == 0 && request.ContentLength >= 0
-}
-
 // begin records that the handler of the current request begins. It returns the early start
 // of the request, or nil.
 func (c *conn) begin(request *http.Request) *exchange {
@@ -396,61 +371,3 @@
 		c.early = append(c.early, c.handler.start(c, request, size))
 	}
 }
-
-// allowsEarlySuccessor reports whether a request behind this one on the same connection is
-// read in any case: the caller does not ask to close the connection or to change the
-// protocol.
-func allowsEarlySuccessor(request *http.Request) bool {
-	return !request.Close && request.Header.Get("Upgrade") == "" && request.Header.Get("Expect") == ""
-}
-
-// parseRequest parses the request at the beginning of data, and returns it with its body and
-// its size. complete is false if more bytes are needed. The request is nil if the
-// http.Server could refuse it, or if it doesn't say where it ends.
-func parseRequest(data []byte) (request *http.Request, size int, complete bool) {
-	end := headerEnd(data, 0)
-	if end == 0 {
-		return nil, 0, len(data) >= maxPendingBytes
-	}
-	request, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(data[:end])))
-	if err != nil || !hasKnownSize(request) || !isValid(request, data[:end]) {
-		return nil, 0, true
-	}
-	if request.ContentLength > maxPendingBytes {
-		return nil, 0, true
-	}
-	size = end + int(request.ContentLength)
-	if len(data) < size {
-		return nil, 0, false
-	}
-	request.Body = http.NoBody
-	if request.ContentLength > 0 {
-		request.Body = io.NopCloser(bytes.NewReader(bytes.Clone(data[end:size])))
-	}
-	return request, size, true
-}
-
-// isValid reports whether a request passes the checks of an http.Server that
-// http.ReadRequest doesn't make, and needs nothing but a response.
-func isValid(request *http.Request, header []byte) bool {
-	hosts := 0
-	for line := range bytes.Lines(header) {
-		if name, _, found := bytes.Cut(line, []byte(":")); found && bytes.EqualFold(name, []byte("Host")) {
-			hosts++
-		}
-	}
-	if hosts != 1 || !httpguts.ValidHostHeader(request.Host) || request.Header.Get("Expect") != "" || request.Header.Get("Upgrade") != "" {
-		return false
-	}
-	for name, values := range request.Header {
-		if !httpguts.ValidHeaderFieldName(name) {
-			return false
-		}
-		for _, value := range values {
-			if !httpguts.ValidHeaderFieldValue(value) {
-				return false
-			}
-		}
-	}
-	return true
-}
--- a/entry/pipeline/pipeline.go
+++ b/entry/pipeline/pipeline.go
@@ -34,7 +34,8 @@
 	RequestIDHeader string
 	Logger          *log.Logger
 
-	// group waits for the goroutines that serve requests started early.
+	// group starts the goroutines that serve requests early. Drain waits for them through
+	// outstanding.
 	group sync.WaitGroup
 
 	mu sync.Mutex
--- a/entry/placement/placement.go
+++ b/entry/placement/placement.go
@@ -327,9 +327,9 @@
 	// panicThreshold is the share of failing servers above which none are excluded.
 	panicThreshold = 0.5
 	// maxCandidates is how many servers of an object's order are compared, not counting
-	// those at maxLoad or kept back by the rate limit of cold servers. The first server
-	// has the object warm. The next ones get the requests for which it has no room, and
-	// so come to have the object warm as well.
+	// those at maxLoad or kept back by the rate limit of cold servers, nor the ones that
+	// candidateFilter adds. The first server has the object warm. The next ones get the
+	// requests for which it has no room, and so come to have the object warm as well.
 	maxCandidates = 3
 	// maxLoad is the load per slot from which a server is sent no more requests. A
 	// server queues a few requests and refuses any others.
