entry/registry: starting entries leave the others alone while the store may answer

The timeout of a full read grows with the number of pages. Test: TestSlowFirstReadAsksNoOtherEntry, seen failing.

--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -89,12 +89,18 @@
 	logs map[string]*tableLog
 	// readerRetryAt is when the reader may be asked again.
 	readerRetryAt time.Time
+	// callFailed reports whether a call of the store has ever failed.
+	callFailed bool
 }
 
 const (
-	// callTimeout is the timeout of a full read. The timeout of a long poll is longPoll
-	// plus callTimeout.
+	// callTimeout is the timeout of the read of one page of a table. The timeout of a long
+	// poll is longPoll plus callTimeout.
 	callTimeout = 1500 * time.Millisecond
+	// firstReadTimeout is the timeout of the first full read of a table, of unknown size.
+	firstReadTimeout = 4 * time.Second
+	// pageRows is the number of rows in a page of the store.
+	pageRows = 500
 	// minLongPoll is the lower limit of longPoll.
 	minLongPoll = time.Second
 	// minRetryDelay and maxRetryDelay bound the back-off after a failed call, before
@@ -228,9 +234,9 @@
 // table is loaded. If the store no longer has the changes since version, the table
 // counts as not loaded, so that the next call is a full read.
 func (r *Registry) poll(ctx context.Context, watched tableWatch, version uint64, loaded bool) (uint64, bool, error) {
-	timeout := callTimeout
-	if loaded {
-		timeout += watched.longPoll
+	timeout := watched.longPoll + callTimeout
+	if !loaded {
+		timeout = r.fullReadTimeout(watched.table)
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -269,6 +275,20 @@
 	return max(version, changes.Version), true, nil
 }
 
+// fullReadTimeout returns the timeout of a full read of a table, which may have several pages.
+func (r *Registry) fullReadTimeout(table string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rows := len(r.operatorRows)
+	if table == platform.ServerTable {
+		rows = len(r.serverRows)
+	}
+	if rows == 0 {
+		return firstReadTimeout
+	}
+	return time.Duration(1+rows/pageRows) * callTimeout
+}
+
 // maxServerLongPoll returns the longest time for which the store may hold a call for the
 // server table: longPoll, or the rest of the grace period if registrations are missing.
 // Their servers are removed by applyServerRows after the call, even if no row has changed.
@@ -285,6 +305,9 @@
 // operator table has no grace period.
 func (r *Registry) recordFailure(table string) {
 	r.logFailed(table)
+	r.mu.Lock()
+	r.callFailed = true
+	r.mu.Unlock()
 	if table != platform.ServerTable {
 		return
 	}
--- a/entry/registry/registry_test.go
+++ b/entry/registry/registry_test.go
@@ -378,3 +378,36 @@
 		assert.Assert(t, !registered)
 	})
 }
+
+// slowTransport delays each call.
+type slowTransport struct {
+	next  http.RoundTripper
+	delay time.Duration
+}
+
+func (s slowTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	time.Sleep(s.delay)
+	return s.next.RoundTrip(request)
+}
+
+// TestSlowFirstReadAsksNoOtherEntry checks that an entry whose first read of the store takes
+// seconds asks no other entry for a snapshot, and loads what it read.
+func TestSlowFirstReadAsksNoOtherEntry(t *testing.T) {
+	testRegistry(t, func(t *testing.T, r *recordingRegistry) {
+		r.putConfiguration(1)
+		r.putServer("a", "ready", 1)
+		asked := 0
+		r.SnapshotSources = func() []func(context.Context) (registry.Snapshot, error) {
+			asked++
+			return nil
+		}
+		r.ServerStore.HTTPClient.Transport = slowTransport{
+			next:  r.ServerStore.HTTPClient.Transport,
+			delay: 2500 * time.Millisecond,
+		}
+		r.run()
+		time.Sleep(2600 * time.Millisecond)
+		assert.Assert(t, r.Loaded())
+		assert.Equal(t, asked, 0)
+	})
+}
--- a/entry/registry/snapshot.go
+++ b/entry/registry/snapshot.go
@@ -42,27 +42,45 @@
 }
 
 // loadSnapshot tries to load a snapshot from another entry until both tables are loaded,
-// from a snapshot or from the store.
+// from a snapshot or from the store. It leaves the others alone while the store may still
+// answer: entries that all start together would all fetch a snapshot from the same few.
 func (r *Registry) loadSnapshot(ctx context.Context) {
-	sleep(ctx, snapshotInterval)
-	for ctx.Err() == nil && !r.Loaded() {
-		for _, fetch := range r.SnapshotSources() {
-			snapshot, err := fetch(ctx)
-			if err != nil {
-				r.Logger.Warn().Str("event", "introduction-failed").Err(err).Msg("")
-				continue
-			}
-			r.applySnapshot(snapshot)
-			break
+	for started := time.Now(); ctx.Err() == nil && !r.Loaded(); sleep(ctx, snapshotInterval) {
+		if !r.storeMayAnswer(time.Since(started)) {
+			r.fetchSnapshot(ctx)
 		}
-		sleep(ctx, snapshotInterval)
 	}
 }
 
-// snapshotInterval is how long an entry waits for the store before it asks other
-// entries, and between two rounds of asking. It leaves time for a read of the store,
-// which takes a few round trips.
-const snapshotInterval = time.Second
+// storeMayAnswer reports whether the first calls of the store, made some time ago, may still be
+// answered: none has failed, and they have not taken longer than maxFirstRead.
+func (r *Registry) storeMayAnswer(elapsed time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.callFailed && elapsed < maxFirstRead
+}
+
+// fetchSnapshot loads a snapshot from the first source that has one.
+func (r *Registry) fetchSnapshot(ctx context.Context) {
+	for _, fetch := range r.SnapshotSources() {
+		snapshot, err := fetch(ctx)
+		if err != nil {
+			r.Logger.Warn().Str("event", "introduction-failed").Err(err).Msg("")
+			continue
+		}
+		r.applySnapshot(snapshot)
+		return
+	}
+}
+
+const (
+	// snapshotInterval is the time between two checks of whether an entry needs a snapshot,
+	// and between two rounds of asking.
+	snapshotInterval = 500 * time.Millisecond
+	// maxFirstRead is how long an entry waits for the first answers of the store. Reading
+	// several thousand rows takes a few seconds on a small VM.
+	maxFirstRead = 3 * time.Second
+)
 
 // applySnapshot applies the rows of another entry, except those of a table that has
 // been loaded from the store meanwhile. The first successful call to the store for each
