entry/registry: a call lost at the end of an outage delays news less

The entry's call of 20.72 s was never answered and ended by its timeout of 4 s; the next one found the history gone, so that version 5, acknowledged at 19.0 s, was in force at 25.5 s, 0.7 s too late. So it was before the readers: the timeout is that of a call which the store may hold for 2.5 s. Change: after a failed call the store is not asked to hold the next one, whose timeout then is 1.5 s. Test: TestCallLostAtTheEndOfAnOutage, seen failing (10 instead of 20). A reader that no longer has a follower's changes is no reason to read the whole table: the follower asks the store for the changes.

--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -186,14 +186,10 @@
 		var err error
 		relayed := false
 		if loaded {
-			version, relayed, err = r.pollReader(ctx, watched, version)
-			if errors.Is(err, platform.ErrHistoryGone) {
-				loaded = false
-			}
+			version, relayed = r.pollReader(ctx, watched, version)
 		}
-		if !relayed || !loaded {
-			relayed = false
-			version, loaded, err = r.poll(ctx, watched, version, loaded)
+		if !relayed {
+			version, loaded, err = r.poll(ctx, watched, version, loaded, failing)
 		}
 		if err != nil && ctx.Err() == nil {
 			if !failing {
@@ -230,11 +226,16 @@
 }
 
 // poll does one full read of a table if it is not loaded, else one long poll for the
-// changes after version. It returns the new version and whether the
-// table is loaded. If the store no longer has the changes since version, the table
-// counts as not loaded, so that the next call is a full read.
-func (r *Registry) poll(ctx context.Context, watched tableWatch, version uint64, loaded bool) (uint64, bool, error) {
-	timeout := watched.longPoll + callTimeout
+// changes after version. It returns the new version and whether the table is loaded. After a
+// failed call, the store is not asked to hold the next one, which may be lost in the same
+// outage, so that its timeout is shorter. If the store no longer has the changes since version,
+// the table counts as not loaded, so that the next call is a full read.
+func (r *Registry) poll(ctx context.Context, watched tableWatch, version uint64, loaded, failing bool) (uint64, bool, error) {
+	longPoll := watched.longPoll
+	if failing {
+		longPoll = 0
+	}
+	timeout := longPoll + callTimeout
 	if !loaded {
 		timeout = r.fullReadTimeout(watched.table)
 	}
@@ -250,7 +251,7 @@
 		r.logReplaced(watched.table, contents.Version)
 		return contents.Version, true, nil
 	}
-	wait := watched.longPoll
+	wait := longPoll
 	if watched.table == platform.ServerTable {
 		wait = min(wait, r.maxServerLongPoll())
 	}
--- a/entry/registry/relay.go
+++ b/entry/registry/relay.go
@@ -186,14 +186,14 @@
 
 // pollReader asks the entry's reader for the changes of a table after a version, and returns
 // the new version. read is false if there is no reader, if the last confirmation of the store
-// is too old to wait for the reader, or if the reader did not answer in time with a newer one.
-// The caller then asks the store.
-func (r *Registry) pollReader(ctx context.Context, watched tableWatch, version uint64) (newVersion uint64, read bool, err error) {
+// is too old to wait for the reader, if the reader no longer has the changes, or if it did not
+// answer in time with a newer state. The caller then asks the store.
+func (r *Registry) pollReader(ctx context.Context, watched tableWatch, version uint64) (newVersion uint64, read bool) {
 	reader := r.currentReader()
 	pause := float64(r.ServerPollPause())
 	wait := time.Until(r.confirmedAt(watched.table).Add(time.Duration(maxConfirmationAge * pause)))
 	if reader == nil || wait < time.Duration(minReaderWait*pause) {
-		return version, false, nil
+		return version, false
 	}
 	readerCtx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
@@ -204,9 +204,10 @@
 	changes, err := reader(readerCtx, watched.table, version, wait)
 	switch confirmedAt := sentAt.Add(changes.Held - changes.Age); {
 	case ctx.Err() != nil:
-		return version, true, nil
+		return version, true
 	case errors.Is(err, platform.ErrHistoryGone):
-		return version, true, err
+		// The store itself may still have the changes.
+		return version, false
 	case err == nil && float64(time.Since(confirmedAt)) > maxConfirmationAge*pause:
 		err = errors.Errorf("the reader's state was confirmed %s ago", time.Since(confirmedAt))
 	case err == nil:
@@ -216,13 +217,13 @@
 		watched.apply(changes.Rows)
 		newVersion = max(version, changes.Version)
 		r.logChanged(watched.table, changes.Rows, newVersion, confirmedAt)
-		return newVersion, true, nil
+		return newVersion, true
 	}
 	r.mu.Lock()
 	r.readerRetryAt = time.Now().Add(readerRetryTime)
 	r.mu.Unlock()
 	r.Logger.Warn().Str("event", "reader-failed").Str("table", watched.table).Uint64("version", version).Err(err).Msg("")
-	return version, false, nil
+	return version, false
 }
 
 // confirmedAt returns when the store last confirmed that this entry knows all changes of a
--- a/entry/registry/relay_test.go
+++ b/entry/registry/relay_test.go
@@ -254,6 +254,27 @@
 	})
 }
 
+// TestCallLostAtTheEndOfAnOutage checks that an entry without a reader knows a change soon after
+// a long outage, also if the store never answers the call that was made at the end of it.
+func TestCallLostAtTheEndOfAnOutage(t *testing.T) {
+	const bound = 2 * time.Second
+	for length := 10 * time.Second; length < 14*time.Second; length += 190 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRelayTest()
+			defer r.stop()
+			r.toReader.set(pathRefusing)
+			r.change()
+			time.Sleep(5 * time.Second)
+			r.followerStore.set(pathSilent)
+			time.Sleep(length)
+			r.followerStore.set(pathOpen)
+			r.change()
+			time.Sleep(bound)
+			assert.Equal(t, r.follower.configurationVersion(), uint64(20), "after an outage of %s", length)
+		})
+	}
+}
+
 // TestReaderBehindItsFollower checks that a reader that knows less than the follower, because
 // the store is silent for it, takes nothing back.
 func TestReaderBehindItsFollower(t *testing.T) {
