--- a/measure/capacity/store.go
+++ b/measure/capacity/store.go
@@ -157,6 +157,7 @@
 	calls := &platformCalls{}
 	keeper := newKeeper(fleet.HundredthOfTarget().Documents())
 	keeper.Platform = calls.Wrap((&memory.Store{}).Platform())
+	// The error says that there is no head row.
 	_ = keeper.Poll(context.Background())
 	return calls
 }
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -77,6 +77,7 @@
 	s.crash.Store(&crash)
 	stop := context.AfterFunc(ctx, crash)
 	defer stop()
+	// Serve returns an error when the server is closed, which is how it ends.
 	_ = server.Serve(listener)
 }
 
@@ -229,6 +230,7 @@
 	w.Header().Set("Content-Length", strconv.Itoa(len(content)))
 	if fault.Truncated {
 		_, _ = w.Write(content[:len(content)/2])
+		// An error says that the connection is closed already, as it is about to be.
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
--- a/standin/backend/fault.go
+++ b/standin/backend/fault.go
@@ -123,6 +123,7 @@
 func (f *Fleet) ControlHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /report", func(w http.ResponseWriter, _ *http.Request) {
+		// A write fails only if the test run has disconnected.
 		_ = json.NewEncoder(w).Encode(f.Report())
 	})
 	mux.HandleFunc("PUT /faults", func(w http.ResponseWriter, r *http.Request) {
