entry: log the failures by which a request becomes quarantined

They said neither which failures an entry counts for a request nor whether it learnt those of its peers.

Change: one line event=suspect a failure that the entry records, and one when a peer's news quarantine a request.

Measured: go test ./entry/gateway passes.

--- a/entry/gateway/refusal.go
+++ b/entry/gateway/refusal.go
@@ -90,8 +90,11 @@
 	// The error is ignored: it only says that the caller has left.
 	_, _ = io.WriteString(w, string(reply.reason)+"\n")
 	g.recordMetrics(req, reply.status)
-	g.addDecision(g.warnLine(req, "refused"), req, req.bestCandidate).Int("status", reply.status).Str("reason", string(reply.reason)).
-		Int64("retry-after-ms", reply.retryAfter.Milliseconds()).
+	line := g.addDecision(g.warnLine(req, "refused"), req, req.bestCandidate).Int("status", reply.status).Str("reason", string(reply.reason))
+	if reply.reason == outcome.ReasonQuarantined {
+		line = line.Str("digest", req.digest.String())
+	}
+	line.Int64("retry-after-ms", reply.retryAfter.Milliseconds()).
 		Int64("total-ms", time.Since(req.arrival).Milliseconds()).Msg("")
 }
 
--- a/entry/platform_node.go
+++ b/entry/platform_node.go
@@ -101,6 +101,7 @@
 	n.readerClient = newReaderClient()
 	n.settings.Store(&settings)
 	n.suspects.FailureLimit = quarantineFailureLimit
+	n.suspects.OnFailure = n.logSuspect
 	n.tracker = &presence.Tracker{
 		Self:   n.self,
 		Store:  n.newStore(),
@@ -188,6 +189,14 @@
 		Str("service", server.Service).Str("failure-domain", server.FailureDomain).Int64("sequence", server.Sequence).Msg("")
 }
 
+// logSuspect logs that a backend server failed while it ran a request, and whether the
+// request is quarantined from now on.
+func (n *platformNode) logSuspect(failure quarantine.Failure) {
+	n.logger.Warn().Str("event", "suspect").Str("digest", failure.Digest.String()).Str("service", failure.Service).
+		Str("server", failure.Server).Bool("from-peer", failure.FromPeer).Int("failures", failure.Count).
+		Bool("quarantined", failure.Quarantined).Msg("")
+}
+
 // fillPresence adds to a message to the other entries this entry's requests in flight at
 // each backend server, the servers that fail its requests, and the recent suspects.
 func (n *platformNode) fillPresence(message *teaselv1.Presence) {
--- a/entry/quarantine/heartbeat.go
+++ b/entry/quarantine/heartbeat.go
@@ -95,7 +95,7 @@
 		for _, failure := range message.GetBreaks() {
 			at := now.Add(-time.Duration(failure.GetAgeMs()) * time.Millisecond)
 			if now.Sub(at) < FailureLifetime {
-				l.addFailure(digest, message.GetService(), failure.GetServer(), at)
+				l.addFailure(digest, message.GetService(), failure.GetServer(), at, true)
 			}
 		}
 		s := l.suspects[digest]
--- a/entry/quarantine/quarantine.go
+++ b/entry/quarantine/quarantine.go
@@ -15,6 +15,7 @@
 package quarantine
 
 import (
+	"encoding/hex"
 	"sync"
 	"time"
 )
@@ -23,6 +24,24 @@
 // that a request that its caller sends again under a new key is recognised.
 type Digest [16]byte
 
+// String returns the first bytes of the digest in hexadecimal, enough to tell requests
+// apart in a log.
+func (d Digest) String() string { return hex.EncodeToString(d[:6]) }
+
+// Failure is the failure of a backend server that ran a request.
+type Failure struct {
+	Digest  Digest
+	Service string
+	// Server is the server that failed, as passed to RecordFailure.
+	Server string
+	// FromPeer reports whether another entry recorded the failure.
+	FromPeer bool
+	// Count is the number of servers whose failures now count for the request.
+	Count int
+	// Quarantined reports whether the request is refused from now on.
+	Quarantined bool
+}
+
 // List holds the suspects that this entry has recorded or received from peers.
 // The zero value is an empty list. Its methods may be called concurrently.
 type List struct {
@@ -31,6 +50,10 @@
 	// higher limit is needed where requests of different callers have the same
 	// digest, since independent failures are then counted for one suspect.
 	FailureLimit int
+	// OnFailure is called with each failure that this entry records, and with those of
+	// peers by which a request becomes quarantined. It may be nil. It must not call the
+	// list, whose lock is held.
+	OnFailure func(Failure)
 
 	mu       sync.Mutex
 	suspects map[Digest]*suspect
@@ -77,12 +100,12 @@
 func (l *List) RecordFailure(digest Digest, service, server string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.addFailure(digest, service, server, time.Now())
+	l.addFailure(digest, service, server, time.Now(), false)
 }
 
 // addFailure records the failure of a backend server at a time. The caller must
 // hold the lock.
-func (l *List) addFailure(digest Digest, service, server string, at time.Time) {
+func (l *List) addFailure(digest Digest, service, server string, at time.Time, fromPeer bool) {
 	if l.suspects == nil {
 		l.suspects = make(map[Digest]*suspect)
 	}
@@ -95,9 +118,22 @@
 		}
 		l.suspects[digest] = s
 	}
+	wasQuarantined := l.failureCount(digest) >= l.failureLimit()
 	if isNewEvent(at, s.failures[server]) {
 		s.failures[server] = at
 	}
+	count := l.failureCount(digest)
+	quarantined := !wasQuarantined && count >= l.failureLimit()
+	if l.OnFailure != nil && (!fromPeer || quarantined) {
+		l.OnFailure(Failure{
+			Digest:      digest,
+			Service:     service,
+			Server:      server,
+			FromPeer:    fromPeer,
+			Count:       count,
+			Quarantined: quarantined,
+		})
+	}
 }
 
 // isNewEvent reports whether the failure or success at a time is a later event than
@@ -166,11 +202,15 @@
 func (l *List) Quarantined(digest Digest) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	limit := l.FailureLimit
-	if limit == 0 {
-		limit = defaultFailureLimit
+	return l.failureCount(digest) >= l.failureLimit()
+}
+
+// failureLimit returns FailureLimit or its default.
+func (l *List) failureLimit() int {
+	if l.FailureLimit == 0 {
+		return defaultFailureLimit
 	}
-	return l.failureCount(digest) >= limit
+	return l.FailureLimit
 }
 
 // failureCount returns the recentFailures of a request's suspect, or 0 if the request
