entry/quarantine: the eviction of suspects spares quarantined requests

Callers saw: a request that had crashed servers, and was refused since, was sent on again.

Cause: a full list dropped the suspect whose last failure was oldest. That is the quarantined one: it is refused, so it has no further failures, while each broken connection makes another request suspect.

Change: those for which the fewest servers failed are dropped first.

Measured: TestFailuresOfOtherRequestsKeepQuarantine failed before (1,000 other suspects evicted the quarantined one), and passes.

--- a/entry/quarantine/quarantine.go
+++ b/entry/quarantine/quarantine.go
@@ -16,6 +16,7 @@
 
 import (
 	"encoding/hex"
+	"math"
 	"sync"
 	"time"
 )
@@ -88,8 +89,7 @@
 	// maxMessageDelay is an upper bound of the delay of a message between two
 	// entries.
 	maxMessageDelay = 5 * time.Second
-	// maxSuspects is the maximum number of suspects in a list. The suspect whose
-	// last failure is oldest is evicted first.
+	// maxSuspects is the maximum number of suspects in a list, see evict.
 	maxSuspects = 512
 )
 
@@ -144,24 +144,25 @@
 	return at.Sub(recorded) > maxMessageDelay
 }
 
-// evict removes expired suspects and, if the list is still full, the suspect whose
-// last failure is oldest. The caller must hold the lock.
+// evict removes expired suspects and, if the list is still full, one of those for which
+// the fewest servers failed, the one whose last failure is oldest. The caller must hold
+// the lock.
 func (l *List) evict() {
 	now := time.Now()
-	var oldest Digest
-	var oldestAge time.Duration
+	var candidate Digest
+	fewest, oldestAge := math.MaxInt, time.Duration(0)
 	for digest, s := range l.suspects {
-		elapsed := now.Sub(s.lastFailure())
-		if elapsed > FailureLifetime {
+		age := now.Sub(s.lastFailure())
+		if age > FailureLifetime {
 			delete(l.suspects, digest)
 			continue
 		}
-		if elapsed >= oldestAge {
-			oldest, oldestAge = digest, elapsed
+		if count := s.recentFailures(now); count < fewest || count == fewest && age >= oldestAge {
+			candidate, fewest, oldestAge = digest, count, age
 		}
 	}
 	if len(l.suspects) >= maxSuspects {
-		delete(l.suspects, oldest)
+		delete(l.suspects, candidate)
 	}
 }
 
--- a/entry/quarantine/quarantine_test.go
+++ b/entry/quarantine/quarantine_test.go
@@ -94,3 +94,20 @@
 		assert.Equal(t, len(list.Suspects()), 32)
 	})
 }
+
+// TestFailuresOfOtherRequestsKeepQuarantine guards against the eviction of a request that
+// has crashed servers, and is refused since, by the many that broken connections make
+// suspect.
+func TestFailuresOfOtherRequestsKeepQuarantine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var list quarantine.List
+		list.RecordFailure(requestDigest, "offers", "server-1")
+		list.RecordFailure(requestDigest, "offers", "server-2")
+		for i := range 1000 {
+			time.Sleep(10 * time.Millisecond)
+			// The text has 16 bytes, the length of a Digest.
+			list.RecordFailure(quarantine.Digest([]byte(fmt.Sprintf("request %08d", i))), "offers", "server-1")
+		}
+		assert.Assert(t, list.Quarantined(requestDigest))
+	})
+}
