entry/presence: full datagrams keep room for suspect requests

Callers saw: a request that had crashed three servers, each seen by another entry, was sent on by entries that had not heard of all three crashes.

Cause: a datagram that exceeded 1,400 bytes dropped all suspects. Each broken connection makes a suspect of 60 bytes or more, which every entry passes on for five seconds, so some twenty broken connections, or requests in flight at some three hundred servers, ended the exchange.

Change: the last suspects are dropped until the others fit; 700 bytes are theirs before the lists of servers are halved. Suspects with most failures come first, each with no more failures than quarantine it.

Measured: TestQuarantineReachesEntriesWhileManyConnectionsBreak failed before (3 of 3 runs with -race) and passes (3 of 3).

--- a/entry/presence/presence.go
+++ b/entry/presence/presence.go
@@ -133,6 +133,10 @@
 	// fits into an MTU of 1500 bytes and is not fragmented. A larger datagram that arrives
 	// is truncated, so it normally fails to decode and is discarded.
 	maxDatagramBytes = 1400
+	// reservedSuspectBytes is the part of a full datagram that suspect requests take before
+	// the lists of backend servers are halved. The longest suspect fits into it, with three
+	// names of servers of 200 bytes.
+	reservedSuspectBytes = 700
 )
 
 // Run announces this entry and tracks the others until ctx is done. It sends and
@@ -237,8 +241,9 @@
 
 // encodeMessage returns the payload of a datagram, which is the same for all peers. The
 // message contains this entry's addresses, region and failure domain if withAddresses is
-// true. If it exceeds maxDatagramBytes, encodeMessage drops the suspect requests, and if
-// that does not suffice, halves the lists of backend servers until the message fits.
+// true. If it exceeds maxDatagramBytes, encodeMessage drops the last suspect requests, of
+// which some keep their place because no other message may carry them, and then halves the
+// lists of backend servers until the message fits.
 func (t *Tracker) encodeMessage(withAddresses bool) ([]byte, error) {
 	self := t.Self()
 	message := &teaselv1.Presence{
@@ -256,7 +261,8 @@
 	}
 	payload, err := proto.Marshal(message)
 	if len(payload) > maxDatagramBytes {
-		message.Suspects = nil
+		room := maxDatagramBytes - len(payload) + suspectBytes(message.GetSuspects())
+		trimSuspects(message, max(room, reservedSuspectBytes))
 		payload, err = proto.Marshal(message)
 	}
 	for len(payload) > maxDatagramBytes && err == nil {
@@ -268,6 +274,23 @@
 	return payload, err
 }
 
+// suspectBytes returns the encoded size of suspect requests in a message.
+func suspectBytes(suspects []*teaselv1.Suspect) int {
+	return proto.Size(&teaselv1.Presence{
+		Suspects: suspects,
+	})
+}
+
+// trimSuspects drops the last suspect requests of a message until the others take at most
+// the given number of bytes.
+func trimSuspects(message *teaselv1.Presence, maxBytes int) {
+	suspects := message.GetSuspects()
+	for len(suspects) > 0 && suspectBytes(suspects) > maxBytes {
+		suspects = suspects[:len(suspects)-1]
+	}
+	message.Suspects = suspects
+}
+
 // updateAlive updates a peer's alive field. It logs an event if the field changed: the
 // peer has timed out, or was heard for the first time or again after a time-out. The
 // caller must hold t.mu.
--- a/entry/quarantine/heartbeat.go
+++ b/entry/quarantine/heartbeat.go
@@ -1,15 +1,17 @@
 package quarantine
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	teaselv1 "github.com/teaselstack/teaselstack/api/teasel/v1"
 	"github.com/teaselstack/teaselstack/entry/membership"
 )
 
-// maxSuspectsPerMessage is the maximum number of suspects in one message. They are
-// selected by the random order of map iteration, so that each is likely to be in one of
-// several messages.
+// maxSuspectsPerMessage is the maximum number of suspects in one message. Those for which
+// most servers failed come first, and those with as many failures in a random order, so
+// that each is likely to be in one of several messages.
 const maxSuspectsPerMessage = 32
 
 // HeartbeatExtension returns the functions that add suspects to heartbeats and merge
@@ -34,38 +36,46 @@
 func (l *List) Suspects() []*teaselv1.Suspect { return l.RecentSuspects(FailureLifetime) }
 
 // RecentSuspects is like Suspects, but returns only suspects whose last failure was
-// at most maxAge ago. Both remove the expired suspects that they come across.
+// at most maxAge ago. Both return first those for which most servers failed, and remove
+// the expired suspects that they come across.
 func (l *List) RecentSuspects(maxAge time.Duration) []*teaselv1.Suspect {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	var messages []*teaselv1.Suspect
+	var selected []Digest
 	for digest, s := range l.suspects {
-		if len(messages) == maxSuspectsPerMessage {
-			break
-		}
-		if now.Sub(s.lastFailure()) > FailureLifetime {
+		switch age := now.Sub(s.lastFailure()); {
+		case age > FailureLifetime:
 			delete(l.suspects, digest)
-			continue
+		case age <= maxAge:
+			selected = append(selected, digest)
 		}
-		if now.Sub(s.lastFailure()) > maxAge {
-			continue
-		}
-		messages = append(messages, s.encode(digest, now))
+	}
+	// The order of the iteration, which is random, stays between equal counts.
+	slices.SortStableFunc(selected, func(a, b Digest) int {
+		return min(l.failureCount(b), l.failureLimit()) - min(l.failureCount(a), l.failureLimit())
+	})
+	var messages []*teaselv1.Suspect
+	for _, digest := range selected[:min(len(selected), maxSuspectsPerMessage)] {
+		messages = append(messages, l.suspects[digest].encode(digest, now, l.failureLimit()))
 	}
 	return messages
 }
 
-// encode returns the message that describes a suspect to a peer.
-func (s *suspect) encode(digest Digest, now time.Time) *teaselv1.Suspect {
+// encode returns the message that describes a suspect to a peer, with its latest failures
+// up to a limit. More are not needed to quarantine it.
+func (s *suspect) encode(digest Digest, now time.Time, limit int) *teaselv1.Suspect {
 	message := &teaselv1.Suspect{
 		Digest:  digest[:],
 		Service: s.service,
 	}
-	for server, at := range s.failures {
+	latest := slices.SortedFunc(maps.Keys(s.failures), func(a, b string) int {
+		return s.failures[b].Compare(s.failures[a])
+	})
+	for _, server := range latest[:min(len(latest), limit)] {
 		message.Breaks = append(message.Breaks, &teaselv1.SuspectBreak{
 			Server: server,
-			AgeMs:  ageMilliseconds(now.Sub(at)),
+			AgeMs:  ageMilliseconds(now.Sub(s.failures[server])),
 		})
 	}
 	if !s.lastSuccess.IsZero() {
