entry/quarantine: entries that start learn which requests are quarantined

Callers saw: a request that had crashed three servers was sent on once by each entry that had started since. With a rolling restart that is one more crash an entry.

Cause: suspects were sent for five seconds after their last failure. A quarantined request has no further failures, because it is refused, so an entry that started later never heard of it.

--- a/entry/platform_node.go
+++ b/entry/platform_node.go
@@ -198,17 +198,21 @@
 }
 
 // fillPresence adds to a message to the other entries this entry's requests in flight at
-// each backend server, the servers that fail its requests, and the recent suspects.
+// each backend server, the servers that fail its requests, the recent suspects and the
+// quarantined requests.
 func (n *platformNode) fillPresence(message *teaselv1.Presence) {
 	n.fleet.FillPresence(message)
 	message.Suspects = n.suspects.RecentSuspects(suspectGossipTime)
+	message.Quarantines = n.suspects.Quarantines()
 }
 
 // applyPresence records the state of the backend servers that another entry reports in a
-// message, and merges the suspects in the message into this entry's list.
+// message, and merges the suspects and quarantined requests in the message into this
+// entry's list.
 func (n *platformNode) applyPresence(message *teaselv1.Presence) {
 	n.fleet.ApplyPresence(message)
 	n.suspects.Merge(message.GetSuspects())
+	n.suspects.MergeQuarantines(message.GetQuarantines())
 }
 
 // idempotent reports whether a request's route is one of requests that may run more than
--- a/entry/quarantine/heartbeat.go
+++ b/entry/quarantine/heartbeat.go
@@ -53,7 +53,7 @@
 	}
 	// The order of the iteration, which is random, stays between equal counts.
 	slices.SortStableFunc(selected, func(a, b Digest) int {
-		return min(l.failureCount(b), l.failureLimit()) - min(l.failureCount(a), l.failureLimit())
+		return l.weight(l.suspects[b]) - l.weight(l.suspects[a])
 	})
 	var messages []*teaselv1.Suspect
 	for _, digest := range selected[:min(len(selected), maxSuspectsPerMessage)] {
@@ -85,6 +85,61 @@
 	return message
 }
 
+// maxQuarantinesPerMessage is the maximum number of quarantined requests in one message.
+const maxQuarantinesPerMessage = 8
+
+// Quarantines returns up to maxQuarantinesPerMessage quarantined requests to send to a
+// peer, in a random order. Unlike suspects, they are sent however long ago the last
+// failure was, so that an entry that starts learns them. They are no longer sent shortly
+// before they expire, because a message that arrives later would renew them.
+func (l *List) Quarantines() []*teaselv1.Quarantine {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var messages []*teaselv1.Quarantine
+	for digest, s := range l.suspects {
+		age := time.Since(s.quarantinedAt)
+		if !l.quarantined(s) || age > FailureLifetime-maxMessageDelay {
+			continue
+		}
+		messages = append(messages, &teaselv1.Quarantine{
+			Digest: digest[:],
+			AgeMs:  ageMilliseconds(age),
+		})
+		if len(messages) == maxQuarantinesPerMessage {
+			break
+		}
+	}
+	return messages
+}
+
+// MergeQuarantines adds the quarantined requests that a peer sent. Those with an invalid
+// digest and expired ones are ignored.
+func (l *List) MergeQuarantines(messages []*teaselv1.Quarantine) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, message := range messages {
+		at := time.Now().Add(-time.Duration(message.GetAgeMs()) * time.Millisecond)
+		if len(message.GetDigest()) != len(Digest{}) || time.Since(at) >= FailureLifetime {
+			continue
+		}
+		digest := Digest(message.GetDigest())
+		s := l.addSuspect(digest)
+		wasQuarantined := l.quarantined(s)
+		if isNewEvent(at, s.quarantinedAt) {
+			s.quarantinedAt = at
+		}
+		if l.OnFailure != nil && !wasQuarantined && l.quarantined(s) {
+			l.OnFailure(Failure{
+				Digest:      digest,
+				Service:     s.service,
+				FromPeer:    true,
+				Count:       s.recentFailures(time.Now()),
+				Quarantined: true,
+			})
+		}
+	}
+}
+
 // ageMilliseconds returns an age in milliseconds, or 0 if it is negative.
 func ageMilliseconds(age time.Duration) uint32 {
 	return uint32(max(0, age.Milliseconds()))
--- a/entry/quarantine/quarantine.go
+++ b/entry/quarantine/quarantine.go
@@ -9,9 +9,8 @@
 //
 // A suspect that was in flight at the failures of two backend servers, or of
 // FailureLimit if that is set, is quarantined: every entry refuses it, reporting
-// that it was not run, until enough of the failures are older than FailureLifetime.
-// Entries exchange their suspects in the messages by which they detect each other's
-// failures, heartbeats or datagrams.
+// that it was not run, for FailureLifetime from then on. Entries exchange their suspects
+// in the messages by which they detect each other's failures, heartbeats or datagrams.
 package quarantine
 
 import (
@@ -69,6 +68,9 @@
 	// failures holds the time of the last failure of each backend server, by the server
 	// passed to RecordFailure.
 	failures map[string]time.Time
+	// quarantinedAt is the time of the failure by which the request was last quarantined,
+	// zero if it never was.
+	quarantinedAt time.Time
 	// lastSuccess is when a run of the request last succeeded.
 	lastSuccess time.Time
 }
@@ -106,24 +108,17 @@
 // addFailure records the failure of a backend server at a time. The caller must
 // hold the lock.
 func (l *List) addFailure(digest Digest, service, server string, at time.Time, fromPeer bool) {
-	if l.suspects == nil {
-		l.suspects = make(map[Digest]*suspect)
-	}
-	s := l.suspects[digest]
-	if s == nil {
-		l.evict()
-		s = &suspect{
-			service:  service,
-			failures: make(map[string]time.Time),
-		}
-		l.suspects[digest] = s
-	}
-	wasQuarantined := l.failureCount(digest) >= l.failureLimit()
+	s := l.addSuspect(digest)
+	s.service = service
+	wasQuarantined := l.quarantined(s)
 	if isNewEvent(at, s.failures[server]) {
 		s.failures[server] = at
 	}
-	count := l.failureCount(digest)
-	quarantined := !wasQuarantined && count >= l.failureLimit()
+	count := s.recentFailures(time.Now())
+	if count >= l.failureLimit() && isNewEvent(at, s.quarantinedAt) {
+		s.quarantinedAt = at
+	}
+	quarantined := !wasQuarantined && l.quarantined(s)
 	if l.OnFailure != nil && (!fromPeer || quarantined) {
 		l.OnFailure(Failure{
 			Digest:      digest,
@@ -136,6 +131,23 @@
 	}
 }
 
+// addSuspect returns the suspect with a digest, a new one if there is none. The caller
+// must hold the lock.
+func (l *List) addSuspect(digest Digest) *suspect {
+	if l.suspects == nil {
+		l.suspects = make(map[Digest]*suspect)
+	}
+	s := l.suspects[digest]
+	if s == nil {
+		l.evict()
+		s = &suspect{
+			failures: make(map[string]time.Time),
+		}
+		l.suspects[digest] = s
+	}
+	return s
+}
+
 // isNewEvent reports whether the failure or success at a time is a later event than
 // the recorded one. Times are sent to peers as ages, which don't include the delay
 // of the message, so the time of one event gets later with each message, by at most
@@ -144,21 +156,20 @@
 	return at.Sub(recorded) > maxMessageDelay
 }
 
-// evict removes expired suspects and, if the list is still full, one of those for which
-// the fewest servers failed, the one whose last failure is oldest. The caller must hold
-// the lock.
+// evict removes expired suspects and, if the list is still full, one of those with the
+// lowest weight, the one whose last failure is oldest. The caller must hold the lock.
 func (l *List) evict() {
 	now := time.Now()
 	var candidate Digest
-	fewest, oldestAge := math.MaxInt, time.Duration(0)
+	lowest, oldestAge := math.MaxInt, time.Duration(0)
 	for digest, s := range l.suspects {
 		age := now.Sub(s.lastFailure())
 		if age > FailureLifetime {
 			delete(l.suspects, digest)
 			continue
 		}
-		if count := s.recentFailures(now); count < fewest || count == fewest && age >= oldestAge {
-			candidate, fewest, oldestAge = digest, count, age
+		if weight := l.weight(s); weight < lowest || weight == lowest && age >= oldestAge {
+			candidate, lowest, oldestAge = digest, weight, age
 		}
 	}
 	if len(l.suspects) >= maxSuspects {
@@ -166,9 +177,23 @@
 	}
 }
 
+// weight returns the number of servers that failed, up to the failure limit. That of a
+// quarantined request is the limit. The caller must hold the lock.
+func (l *List) weight(s *suspect) int {
+	if l.quarantined(s) {
+		return l.failureLimit()
+	}
+	return s.recentFailures(time.Now())
+}
+
+// quarantined reports whether a suspect is quarantined. The caller must hold the lock.
+func (l *List) quarantined(s *suspect) bool {
+	return s.quarantinedAt.After(s.lastSuccess) && time.Since(s.quarantinedAt) < FailureLifetime
+}
+
 // lastFailure returns the time of the last failure of any backend server.
 func (s *suspect) lastFailure() time.Time {
-	var last time.Time
+	last := s.quarantinedAt
 	for _, at := range s.failures {
 		if at.After(last) {
 			last = at
@@ -203,7 +228,8 @@
 func (l *List) Quarantined(digest Digest) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.failureCount(digest) >= l.failureLimit()
+	s := l.suspects[digest]
+	return s != nil && l.quarantined(s)
 }
 
 // failureLimit returns FailureLimit or its default.
--- a/entry/quarantine/quarantine_test.go
+++ b/entry/quarantine/quarantine_test.go
@@ -14,14 +14,15 @@
 // requestDigest is the digest of the request under test.
 var requestDigest = quarantine.Digest{1}
 
-// exchange sends the suspects of each list in turn to all lists, itself included. Each
-// message arrives after delay.
+// exchange sends the suspects and quarantined requests of each list in turn to all lists,
+// itself included. Each message arrives after delay.
 func exchange(delay time.Duration, lists ...*quarantine.List) {
 	for _, from := range lists {
-		suspects := from.Suspects()
+		suspects, quarantines := from.Suspects(), from.Quarantines()
 		time.Sleep(delay)
 		for _, to := range lists {
 			to.Merge(suspects)
+			to.MergeQuarantines(quarantines)
 		}
 	}
 }
--- a/entry/suspects_test.go
+++ b/entry/suspects_test.go
@@ -224,3 +224,20 @@
 		s.assertQuarantined(t, crashingDigest)
 	})
 }
+
+// TestStartingEntryLearnsQuarantine guards against retries of a request that has crashed
+// three servers by an entry that starts long after the last crash.
+func TestStartingEntryLearnsQuarantine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSuspectSite(t, 7, 0)
+		s.crashThree(crashingDigest)
+		time.Sleep(30 * time.Second)
+		for index := range s.nodes {
+			s.stops[index]()
+			time.Sleep(time.Second)
+			s.start(index)
+			time.Sleep(undisturbedWindow)
+			s.assertQuarantined(t, crashingDigest)
+		}
+	})
+}
