entry/presence: quarantines outlive all entries

Callers saw: after all entries had been killed at the same moment, a request that had crashed three servers crashed more, by each such moment three or more.

Cause: which requests are quarantined was known to the processes only.

Change: an entry that recorded one of the failures keeps the quarantine in its row of the store, which each entry reads when it starts.

--- a/entry/platform_node.go
+++ b/entry/platform_node.go
@@ -101,7 +101,7 @@
 	n.readerClient = newReaderClient()
 	n.settings.Store(&settings)
 	n.suspects.FailureLimit = quarantineFailureLimit
-	n.suspects.OnFailure = n.logSuspect
+	n.suspects.OnFailure = n.handleFailure
 	n.tracker = &presence.Tracker{
 		Self:   n.self,
 		Store:  n.newStore(),
@@ -116,6 +116,8 @@
 	n.fleet.OnStateChange = n.logServerState
 	n.tracker.FillPresence = n.fillPresence
 	n.tracker.ApplyPresence = n.applyPresence
+	n.tracker.FillRow = n.fillRow
+	n.tracker.ApplyRow = n.applyRow
 	n.pool = &upstream.Pool{
 		HeaderNames:      platform.HeaderNames,
 		MaxIdlePerServer: n.maxIdlePerServer,
@@ -189,9 +191,13 @@
 		Str("service", server.Service).Str("failure-domain", server.FailureDomain).Int64("sequence", server.Sequence).Msg("")
 }
 
-// logSuspect logs that a backend server failed while it ran a request, and whether the
-// request is quarantined from now on.
-func (n *platformNode) logSuspect(failure quarantine.Failure) {
+// handleFailure logs that a backend server failed while it ran a request, and whether the
+// request is quarantined from now on. An entry that saw a failure then stores the
+// quarantine.
+func (n *platformNode) handleFailure(failure quarantine.Failure) {
+	if failure.Quarantined && failure.SeenHere {
+		n.tracker.UpdateRow()
+	}
 	n.logger.Warn().Str("event", "suspect").Str("digest", failure.Digest.String()).Str("service", failure.Service).
 		Str("server", failure.Server).Bool("from-peer", failure.FromPeer).Int("failures", failure.Count).
 		Bool("quarantined", failure.Quarantined).Msg("")
@@ -215,6 +221,18 @@
 	n.suspects.MergeQuarantines(message.GetQuarantines())
 }
 
+// fillRow adds to this entry's row the quarantined requests for which it saw a failure.
+func (n *platformNode) fillRow(row *teaselv1.Presence) {
+	row.Quarantines = n.suspects.StoredQuarantines()
+	row.WrittenUnixMs = time.Now().UnixMilli()
+}
+
+// applyRow merges the quarantined requests in an entry's row into this entry's list.
+func (n *platformNode) applyRow(row *teaselv1.Presence) {
+	own := row.GetName() == n.settings.Load().Name
+	n.suspects.MergeStored(row.GetQuarantines(), time.Since(time.UnixMilli(row.GetWrittenUnixMs())), own)
+}
+
 // idempotent reports whether a request's route is one of requests that may run more than
 // once.
 func (n *platformNode) idempotent(request *http.Request) bool {
--- a/entry/presence/presence.go
+++ b/entry/presence/presence.go
@@ -1,6 +1,6 @@
 // Package presence lets entries discover each other and exchange state. Each entry
-// writes one row to the platform's store, with its name, region, failure domain and
-// addresses, and finds the others by their rows. It then sends them UDP datagrams. A
+// writes one row to the platform's store, with its name, region, failure domain,
+// addresses and what must outlive its process, and finds the others by their rows. It then sends them UDP datagrams. A
 // datagram holds one encoded teaselv1.Presence, called the message, and also serves as a
 // heartbeat: a peer whose datagrams stop is considered dead. The message carries the
 // number of the entry's requests in flight at each backend server, the servers that it
@@ -48,6 +48,11 @@
 	// ApplyPresence, if not nil, is called with each message of a peer, to merge it into
 	// what this entry knows of backend servers and suspect requests.
 	ApplyPresence func(*teaselv1.Presence)
+	// FillRow, if not nil, adds to this entry's row what must outlive its process.
+	FillRow func(*teaselv1.Presence)
+	// ApplyRow, if not nil, is called with each row that was read, to merge what FillRow
+	// added to it. An entry that starts reads the row of its previous process.
+	ApplyRow func(*teaselv1.Presence)
 	// Store is the platform's store, which holds the entries' rows.
 	Store  *platform.Client
 	Logger *log.Logger
@@ -61,6 +66,8 @@
 	addressesSentAt time.Time
 	// conn sends the datagrams. It is nil until Run is called.
 	conn net.PacketConn
+	// rowChanged is signalled by UpdateRow. It is nil until Run is called.
+	rowChanged chan struct{}
 }
 
 // peer is another entry as this one sees it.
@@ -145,10 +152,12 @@
 	t.mu.Lock()
 	t.peers = make(map[string]*peer)
 	t.conn = conn
+	rowChanged := make(chan struct{}, 1)
+	t.rowChanged = rowChanged
 	t.mu.Unlock()
 	var group sync.WaitGroup
 	group.Go(func() { t.receive(conn) })
-	group.Go(func() { t.syncRows(ctx) })
+	group.Go(func() { t.syncRows(ctx, rowChanged) })
 	for ctx.Err() == nil {
 		t.sendDatagrams(false)
 		sleep(ctx, minSendInterval)
@@ -183,6 +192,17 @@
 	}
 }
 
+// UpdateRow makes Run write this entry's row again, because what FillRow adds has changed.
+func (t *Tracker) UpdateRow() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	select {
+	case t.rowChanged <- struct{}{}:
+	default:
+		// Run has not begun, or it has yet to handle the last call.
+	}
+}
+
 // Announce immediately sends a datagram with this entry's addresses to all peers, so
 // that they learn without delay that Serving has changed.
 func (t *Tracker) Announce() { t.sendDatagrams(true) }
--- a/entry/quarantine/heartbeat.go
+++ b/entry/quarantine/heartbeat.go
@@ -85,33 +85,78 @@
 	return message
 }
 
-// maxQuarantinesPerMessage is the maximum number of quarantined requests in one message.
-const maxQuarantinesPerMessage = 8
+const (
+	// maxQuarantinesPerMessage is the maximum number of quarantined requests in a message.
+	maxQuarantinesPerMessage = 8
+	// maxStoredQuarantines is the maximum number of quarantined requests that an entry
+	// stores.
+	maxStoredQuarantines = 256
+)
 
 // Quarantines returns up to maxQuarantinesPerMessage quarantined requests to send to a
 // peer, in a random order. Unlike suspects, they are sent however long ago the last
 // failure was, so that an entry that starts learns them. They are no longer sent shortly
 // before they expire, because a message that arrives later would renew them.
 func (l *List) Quarantines() []*teaselv1.Quarantine {
+	return l.encodeQuarantines(maxQuarantinesPerMessage, func(*suspect) bool { return true })
+}
+
+// StoredQuarantines returns the quarantined requests for which this entry recorded any
+// failure, to be kept where they outlive the process.
+func (l *List) StoredQuarantines() []*teaselv1.Quarantine {
+	return l.encodeQuarantines(maxStoredQuarantines, func(s *suspect) bool { return s.seenHere })
+}
+
+// encodeQuarantines returns up to limit of the quarantined requests for which include
+// returns true.
+func (l *List) encodeQuarantines(limit int, include func(*suspect) bool) []*teaselv1.Quarantine {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var messages []*teaselv1.Quarantine
 	for digest, s := range l.suspects {
 		age := time.Since(s.quarantinedAt)
-		if !l.quarantined(s) || age > FailureLifetime-maxMessageDelay {
+		if !l.quarantined(s) || age > FailureLifetime-maxMessageDelay || !include(s) {
 			continue
 		}
 		messages = append(messages, &teaselv1.Quarantine{
 			Digest: digest[:],
 			AgeMs:  ageMilliseconds(age),
 		})
-		if len(messages) == maxQuarantinesPerMessage {
+		if len(messages) == limit {
 			break
 		}
 	}
 	return messages
 }
 
+// MergeStored adds quarantined requests that were stored some time ago, by this entry's
+// previous process if own is true and by another entry otherwise. The time is measured with
+// clocks that may differ; a negative one counts as zero. StoredQuarantines returns those
+// of the own entry again.
+func (l *List) MergeStored(messages []*teaselv1.Quarantine, storedAgo time.Duration, own bool) {
+	current := make([]*teaselv1.Quarantine, 0, len(messages))
+	for _, message := range messages {
+		age := time.Duration(message.GetAgeMs())*time.Millisecond + max(0, storedAgo)
+		if age < FailureLifetime {
+			current = append(current, &teaselv1.Quarantine{
+				Digest: message.GetDigest(),
+				AgeMs:  ageMilliseconds(age),
+			})
+		}
+	}
+	l.MergeQuarantines(current)
+	if !own {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, message := range current {
+		if len(message.GetDigest()) == len(Digest{}) {
+			l.addSuspect(Digest(message.GetDigest())).seenHere = true
+		}
+	}
+}
+
 // MergeQuarantines adds the quarantined requests that a peer sent. Those with an invalid
 // digest and expired ones are ignored.
 func (l *List) MergeQuarantines(messages []*teaselv1.Quarantine) {
@@ -135,6 +180,7 @@
 				FromPeer:    true,
 				Count:       s.recentFailures(time.Now()),
 				Quarantined: true,
+				SeenHere:    s.seenHere,
 			})
 		}
 	}
--- a/entry/quarantine/quarantine.go
+++ b/entry/quarantine/quarantine.go
@@ -40,6 +40,8 @@
 	Count int
 	// Quarantined reports whether the request is refused from now on.
 	Quarantined bool
+	// SeenHere reports whether this entry recorded any failure for the request.
+	SeenHere bool
 }
 
 // List holds the suspects that this entry has recorded or received from peers.
@@ -68,6 +70,8 @@
 	// failures holds the time of the last failure of each backend server, by the server
 	// passed to RecordFailure.
 	failures map[string]time.Time
+	// seenHere reports whether this entry recorded any of the failures itself.
+	seenHere bool
 	// quarantinedAt is the time of the failure by which the request was last quarantined,
 	// zero if it never was.
 	quarantinedAt time.Time
@@ -110,6 +114,7 @@
 func (l *List) addFailure(digest Digest, service, server string, at time.Time, fromPeer bool) {
 	s := l.addSuspect(digest)
 	s.service = service
+	s.seenHere = s.seenHere || !fromPeer
 	wasQuarantined := l.quarantined(s)
 	if isNewEvent(at, s.failures[server]) {
 		s.failures[server] = at
@@ -127,6 +132,7 @@
 			FromPeer:    fromPeer,
 			Count:       count,
 			Quarantined: quarantined,
+			SeenHere:    s.seenHere,
 		})
 	}
 }
--- a/entry/suspects_test.go
+++ b/entry/suspects_test.go
@@ -241,3 +241,22 @@
 		}
 	})
 }
+
+// TestQuarantineOutlivesAllEntries guards against retries of a request that has crashed
+// three servers after all entries were killed at the same time, also repeatedly.
+func TestQuarantineOutlivesAllEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSuspectSite(t, 7, 0)
+		s.crashThree(crashingDigest)
+		time.Sleep(undisturbedWindow)
+		for range 3 {
+			s.stopAll()
+			time.Sleep(2 * time.Second)
+			for index := range s.nodes {
+				s.start(index)
+			}
+			time.Sleep(undisturbedWindow)
+			s.assertQuarantined(t, crashingDigest)
+		}
+	})
+}
