entry/gateway: servers that crash in silence count against a request

Callers saw: a request that crashes the servers that run it was sent on without end, where they end without closing their connections.

Cause: only broken connections counted as failures. A request whose server falls silent ends by its deadline, or because its caller leaves, before the connection is found dead.

Change: such a request is remembered for 15 s; if the incarnation of its server is no longer registered by then, that counts as a failure at the time at which the request ended.

--- a/entry/gateway/forward.go
+++ b/entry/gateway/forward.go
@@ -275,7 +275,7 @@
 
 // classifyFailure derives from the failure of an attempt the health signal, the reason,
 // and whether the request may have run. It reports a connection that broke during the
-// exchange to the quarantine.
+// exchange, and a request without an answer, to the quarantine.
 func (g *Gateway) classifyFailure(ctx context.Context, req *proxyRequest, result *attempt) {
 	failure := result.failure
 	switch {
@@ -293,6 +293,7 @@
 	case ctx.Err() != nil:
 		result.reason = endReason(req)
 		result.signal = placement.SignalNone
+		g.recordUnanswered(req, &result.choice.Server)
 	case req.body.readError() != nil:
 		result.reason = outcome.ReasonBodyBroken
 		result.signal = placement.SignalNone
@@ -307,6 +308,14 @@
 	result.mayHaveRun = true
 }
 
+// recordUnanswered reports to the quarantine that a server did not answer a request in time.
+func (g *Gateway) recordUnanswered(req *proxyRequest, server *routing.Server) {
+	incarnation := server.Incarnation()
+	g.Quarantine.RecordUnanswered(req.digest, req.service, incarnationKey(server), func() bool {
+		return g.Fleet.Registered(incarnation)
+	})
+}
+
 // isFinal reports whether a response goes to the caller without a retry. If it is a
 // server's error that a retry could turn into a success, isFinal sets the reason of the
 // attempt. If its status is below 500, isFinal reports the success to the quarantine.
--- a/entry/gateway/harness_test.go
+++ b/entry/gateway/harness_test.go
@@ -189,6 +189,7 @@
 // restart registers a new incarnation of a server, as after a crash.
 func (h *harness) restart(id string) {
 	h.gateway.Fleet.Update([]routing.Server{testServer(id, time.Now().UnixNano())})
+	h.gateway.Quarantine.CheckUnanswered()
 }
 
 // recordRun counts a run of a request in runCounts.
--- a/entry/platform_node.go
+++ b/entry/platform_node.go
@@ -135,8 +135,8 @@
 		MaxLag:            settings.Bounds.StableWindow,
 		OnConfiguration:   n.fleet.Configure,
 		OnEvacuations:     n.fleet.SetEvacuated,
-		OnServersUpdated:  n.fleet.Update,
-		OnServersRemoved:  n.fleet.Remove,
+		OnServersUpdated:  n.updateServers,
+		OnServersRemoved:  n.removeServers,
 		OnDoubtfulServers: n.fleet.SetDoubtful,
 		Logger:            logger,
 		SnapshotSources:   n.snapshotSources,
@@ -185,6 +185,18 @@
 	return time.Duration(max(minPollShare*float64(drainBound), min(maxPollShare*float64(drainBound), remaining)))
 }
 
+// updateServers applies the registrations of servers that are new or have changed.
+func (n *platformNode) updateServers(servers []routing.Server) {
+	n.fleet.Update(servers)
+	n.suspects.CheckUnanswered()
+}
+
+// removeServers removes servers whose registrations are gone.
+func (n *platformNode) removeServers(ids []string) {
+	n.fleet.Remove(ids)
+	n.suspects.CheckUnanswered()
+}
+
 // logServerState logs that the state of a backend server changed.
 func (n *platformNode) logServerState(server *routing.Server, state placement.ServerState, cause string) {
 	n.logger.Info().Str("event", "server").Str("server", server.ID).Str("belief", string(state)).Str("cause", cause).
--- a/entry/quarantine/quarantine.go
+++ b/entry/quarantine/quarantine.go
@@ -59,6 +59,8 @@
 
 	mu       sync.Mutex
 	suspects map[Digest]*suspect
+	// unanswered holds the requests passed to RecordUnanswered, oldest first.
+	unanswered []unansweredRun
 	// active holds the suspect that this entry currently runs on each backend server,
 	// by the server passed to Admit.
 	active map[string]activeSuspect
@@ -87,6 +89,16 @@
 	requests int
 }
 
+// unansweredRun is a request that got no answer from a backend server.
+type unansweredRun struct {
+	digest  Digest
+	service string
+	server  string
+	endedAt time.Time
+	// running reports whether the server still runs.
+	running func() bool
+}
+
 const (
 	// defaultFailureLimit is the FailureLimit of a list that sets none.
 	defaultFailureLimit = 2
@@ -97,6 +109,12 @@
 	maxMessageDelay = 5 * time.Second
 	// maxSuspects is the maximum number of suspects in a list, see evict.
 	maxSuspects = 512
+	// unansweredLifetime is how long after a request ended without an answer the end of its
+	// backend server counts as a failure. A server that ends in silence is missed after
+	// three of its heartbeats, or later while the store is away.
+	unansweredLifetime = 15 * time.Second
+	// maxUnanswered is the maximum number of requests without an answer in a list.
+	maxUnanswered = 512
 )
 
 // RecordFailure records that a request of a service was in flight when its
@@ -109,6 +127,49 @@
 	l.addFailure(digest, service, server, time.Now(), false)
 }
 
+// RecordUnanswered records that a request of a service got no answer from a backend server
+// before its deadline, or before its caller left. If the server ends soon, as
+// CheckUnanswered finds out from running, that counts as a failure at the present time.
+func (l *List) RecordUnanswered(digest Digest, service, server string, running func() bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.unanswered) == maxUnanswered {
+		l.unanswered = l.unanswered[1:]
+	}
+	l.unanswered = append(l.unanswered, unansweredRun{
+		digest:  digest,
+		service: service,
+		server:  server,
+		endedAt: time.Now(),
+		running: running,
+	})
+}
+
+// CheckUnanswered records the failures of the backend servers that have ended since a
+// request got no answer from them. It is called when servers have come or gone.
+func (l *List) CheckUnanswered() {
+	l.mu.Lock()
+	runs := l.unanswered
+	l.unanswered = nil
+	l.mu.Unlock()
+	var undecided, ended []unansweredRun
+	for _, run := range runs {
+		switch {
+		case time.Since(run.endedAt) > unansweredLifetime:
+		case run.running():
+			undecided = append(undecided, run)
+		default:
+			ended = append(ended, run)
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.unanswered = append(undecided, l.unanswered...)
+	for _, run := range ended {
+		l.addFailure(run.digest, run.service, run.server, run.endedAt, false)
+	}
+}
+
 // addFailure records the failure of a backend server at a time. The caller must
 // hold the lock.
 func (l *List) addFailure(digest Digest, service, server string, at time.Time, fromPeer bool) {
