entry/quarantine: the news of silent crashes reach other entries

Cause: the failure of a server that ended in silence was dated back to the end of the request, and failures older than five seconds are not sent to peers. A server is missed after three heartbeats, 4.5 s or more.

Change: the failure counts from when the server is missed.

Measured: TestSilentCrashesReachAllEntries failed before, and passes (2 of 2 with -race).

--- a/entry/quarantine/quarantine.go
+++ b/entry/quarantine/quarantine.go
@@ -166,7 +166,7 @@
 	defer l.mu.Unlock()
 	l.unanswered = append(undecided, l.unanswered...)
 	for _, run := range ended {
-		l.addFailure(run.digest, run.service, run.server, run.endedAt, false)
+		l.addFailure(run.digest, run.service, run.server, time.Now(), false)
 	}
 }
 
--- a/entry/suspects_test.go
+++ b/entry/suspects_test.go
@@ -260,3 +260,22 @@
 		}
 	})
 }
+
+// TestSilentCrashesReachAllEntries guards against retries of a request that crashes servers
+// in silence, each seen by another entry, some seconds before the servers are missed.
+func TestSilentCrashesReachAllEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSuspectSite(t, 7, 0)
+		lost := false
+		for index := range 3 {
+			s.nodes[index].suspects.RecordUnanswered(crashingDigest, "desk", fmt.Sprintf("i-%d@1", index), func() bool { return !lost })
+		}
+		time.Sleep(8 * time.Second)
+		lost = true
+		for index := range 3 {
+			s.nodes[index].removeServers([]string{"i-0", "i-1", "i-2"})
+		}
+		time.Sleep(undisturbedWindow)
+		s.assertQuarantined(t, crashingDigest)
+	})
+}
