entry/upstream: a crash behind the response to another request counts

Cause: a connection that broke after a response without the request's ID had arrived on it was taken for a crossed answer alone. A late second response to an earlier request is what arrives first on a reused connection.

Change: the failure of an exchange says whether the connection broke, whatever arrived before, and that is what counts.

--- a/entry/gateway/forward.go
+++ b/entry/gateway/forward.go
@@ -303,6 +303,8 @@
 	default:
 		result.reason = outcome.ReasonConnectionBroken
 		result.signal = placement.SignalBroken
+	}
+	if failure.ConnBroken && result.signal == placement.SignalBroken {
 		g.Quarantine.RecordFailure(req.digest, req.service, incarnationKey(&result.choice.Server))
 	}
 	result.mayHaveRun = true
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -417,6 +417,26 @@
 	})
 }
 
+// TestCrashBehindStrayResponseIsCounted guards against retries of a request that crashes
+// servers on connections on which the response to another request arrives first.
+func TestCrashBehindStrayResponseIsCounted(t *testing.T) {
+	strayOnPoison := func(h *harness, server string, conn net.Conn, request *http.Request) bool {
+		if request.URL.Path == poisonPath {
+			if _, err := io.WriteString(conn, okResponse(newRequest(http.MethodGet, "/", "other", ""), "late")); err != nil {
+				return false
+			}
+			h.restart(server)
+			return false
+		}
+		return respondOK(h, server, conn, request)
+	}
+	servers := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+	withHarness(t, strayOnPoison, servers, func(t *testing.T, h *harness) {
+		crashes := h.sendPoison(t, 12)
+		assert.Assert(t, crashes <= 6, "%d crashes", crashes)
+	})
+}
+
 // TestSilentServerKeepsItsRequest lets a server be silent while it runs a request, and while its
 // registration is in doubt, is removed or says that it drains.
 // The request must not be sent again, also if it is idempotent, and the caller must get the
--- a/entry/upstream/upstream.go
+++ b/entry/upstream/upstream.go
@@ -123,6 +123,9 @@
 	// ResponseMismatch says that responses arrived on the connection, but none that
 	// was read had the request's ID.
 	ResponseMismatch bool
+	// ConnBroken says that the connection broke, or that what arrived on it was not a
+	// response, before the response with the request's ID was complete.
+	ConnBroken bool
 	// ConnReused says that the connection had served another request before.
 	ConnReused bool
 	// Err is the cause.
@@ -224,8 +227,9 @@
 		send()
 		if sendErr != nil {
 			return nil, &Failure{
-				MaybeSent: true,
-				Err:       errors.Wrap(sendErr, "send request"),
+				MaybeSent:  true,
+				ConnBroken: true,
+				Err:        errors.Wrap(sendErr, "send request"),
 			}
 		}
 	} else {
@@ -245,8 +249,9 @@
 		conn.discard()
 		sending.Wait()
 		return nil, &Failure{
-			MaybeSent: true,
-			Err:       errors.Wrap(err, "read answer"),
+			MaybeSent:  true,
+			ConnBroken: true,
+			Err:        errors.Wrap(err, "read answer"),
 		}
 	}
 	response.Release = func() {
@@ -270,6 +275,7 @@
 // readResponse reads up to maxResponsesRead responses until it finds the one with the
 // request's ID. stray reports whether one of another request came before it.
 func (p *Pool) readResponse(conn *pooledConn, request *http.Request, id string) (response *http.Response, stray bool, failure *Failure) {
+	broken := false
 	for range maxResponsesRead {
 		conn.limit.left = maxHeaderBytes
 		response, err := http.ReadResponse(conn.reader, request)
@@ -277,6 +283,7 @@
 			return nil, stray, &Failure{
 				MaybeSent:        true,
 				ResponseMismatch: stray,
+				ConnBroken:       true,
 				Err:              errors.Wrap(err, "read answer"),
 			}
 		}
@@ -289,13 +296,15 @@
 		}
 		stray = true
 		conn.limit.left = maxHeaderBytes
-		if _, err := io.Copy(io.Discard, response.Body); err != nil || response.Close {
+		_, err = io.Copy(io.Discard, response.Body)
+		if broken = err != nil; broken || response.Close {
 			break
 		}
 	}
 	return nil, stray, &Failure{
 		MaybeSent:        true,
 		ResponseMismatch: true,
+		ConnBroken:       broken,
 		Err:              errors.New("read answer: none of the responses has the request's ID"),
 	}
 }
