entry/gateway: a server that crashes during a long response counts

Cause: the request counted as a success, which clears its failures, when the header of the response had arrived. The rest of a long response is forwarded after that, and that it broke off was only logged.

Change: a success counts once the whole response has been read, and one that the server breaks off counts as a failure.

--- a/entry/gateway/forward.go
+++ b/entry/gateway/forward.go
@@ -320,13 +320,12 @@
 
 // isFinal reports whether a response goes to the caller without a retry. If it is a
 // server's error that a retry could turn into a success, isFinal sets the reason of the
-// attempt. If its status is below 500, isFinal reports the success to the quarantine.
+// attempt.
 func (g *Gateway) isFinal(req *proxyRequest, result *attempt) bool {
 	if result.reason != "" {
 		return false
 	}
 	if result.response.StatusCode < http.StatusInternalServerError {
-		g.Quarantine.RecordSuccess(req.digest)
 		return true
 	}
 	if !req.idempotent() || result.response.StatusCode == http.StatusGatewayTimeout {
@@ -371,7 +370,8 @@
 const callerRetryFraction = 0.97
 
 // writeResponse writes a server's response to the caller, or a refusal in place of a
-// response that may belong to another request.
+// response that may belong to another request. If the status is below 500, it reports the
+// success to the quarantine once the server has sent the whole response.
 func (g *Gateway) writeResponse(w http.ResponseWriter, req *proxyRequest, result *attempt) {
 	response := result.response
 	defer response.Release()
@@ -391,7 +391,10 @@
 		responseHeader.Set("Content-Length", itoa(int(response.ContentLength)))
 	}
 	w.WriteHeader(response.StatusCode)
-	g.copyBody(w, req, response)
+	if response.Remainder == nil {
+		g.recordCompletion(req, response)
+	}
+	g.copyBody(w, req, result)
 	g.recordMetrics(req, response.StatusCode)
 	line := g.infoLine(req, "answered")
 	if response.StatusCode >= http.StatusInternalServerError {
@@ -402,3 +405,11 @@
 	line.Int("status", response.StatusCode).Int("sends", req.sentAttempts).Int64("took-ms", result.latency.Milliseconds()).
 		Int64("total-ms", time.Since(req.arrival).Milliseconds()).Msg("")
 }
+
+// recordCompletion reports a response that is complete to the quarantine, unless it is an
+// error of the server.
+func (g *Gateway) recordCompletion(req *proxyRequest, response *upstream.Response) {
+	if response.StatusCode < http.StatusInternalServerError {
+		g.Quarantine.RecordSuccess(req.digest)
+	}
+}
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -437,6 +437,27 @@
 	})
 }
 
+// TestCrashDuringLongResponseIsCounted guards against retries of a request that crashes
+// servers after the beginning of a long response, which the caller has already got.
+func TestCrashDuringLongResponseIsCounted(t *testing.T) {
+	breakOffOnPoison := func(h *harness, server string, conn net.Conn, request *http.Request) bool {
+		if request.URL.Path == poisonPath {
+			response := okResponse(request, strings.Repeat("x", 300<<10))
+			if _, err := io.WriteString(conn, response[:280<<10]); err != nil {
+				return false
+			}
+			h.restart(server)
+			return false
+		}
+		return respondOK(h, server, conn, request)
+	}
+	servers := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+	withHarness(t, breakOffOnPoison, servers, func(t *testing.T, h *harness) {
+		crashes := h.sendPoison(t, 12)
+		assert.Assert(t, crashes <= 6, "%d crashes", crashes)
+	})
+}
+
 // TestSilentServerKeepsItsRequest lets a server be silent while it runs a request, and while its
 // registration is in doubt, is removed or says that it drains.
 // The request must not be sent again, also if it is idempotent, and the caller must get the
--- a/entry/gateway/refusal.go
+++ b/entry/gateway/refusal.go
@@ -4,13 +4,14 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/teaselstack/teaselstack/entry/placement"
-	"github.com/teaselstack/teaselstack/entry/upstream"
 	"github.com/teaselstack/teaselstack/outcome"
 )
 
@@ -100,19 +101,51 @@
 
 // copyBody copies a response's body to the caller. If reading or writing the part after
 // the prefix fails, it aborts the caller's connection, so that the caller notices the
-// truncation.
-func (g *Gateway) copyBody(w http.ResponseWriter, req *proxyRequest, response *upstream.Response) {
+// truncation. It reports to the quarantine how the server ended a response that has such a
+// part.
+func (g *Gateway) copyBody(w http.ResponseWriter, req *proxyRequest, result *attempt) {
+	response := result.response
 	if _, err := w.Write(response.Prefix); err != nil {
 		return
 	}
 	if response.Remainder == nil {
 		return
 	}
-	if _, err := io.Copy(w, response.Remainder); err != nil {
-		g.warnLine(req, "broken-off").Str("failure", err.Error()).
-			Int64("total-ms", time.Since(req.arrival).Milliseconds()).Msg("")
-		panic(http.ErrAbortHandler)
+	remainder := &remainderReader{
+		reader: response.Remainder,
 	}
+	_, err := io.Copy(w, remainder)
+	server := &result.choice.Server
+	switch {
+	case err == nil:
+		g.recordCompletion(req, response)
+		return
+	case remainder.err == nil:
+		// The caller has left.
+	case errors.Is(remainder.err, os.ErrDeadlineExceeded):
+		g.recordUnanswered(req, server)
+	default:
+		g.Quarantine.RecordFailure(req.digest, req.service, incarnationKey(server))
+	}
+	g.warnLine(req, "broken-off").Str("failure", err.Error()).
+		Int64("total-ms", time.Since(req.arrival).Milliseconds()).Msg("")
+	panic(http.ErrAbortHandler)
+}
+
+// remainderReader reads the rest of a response's body and keeps the error that ended it,
+// to tell a server that broke off from a caller that has left.
+type remainderReader struct {
+	reader io.Reader
+	err    error
+}
+
+// Read reads from the body.
+func (r *remainderReader) Read(p []byte) (int, error) {
+	count, err := r.reader.Read(p)
+	if err != nil && err != io.EOF {
+		r.err = err
+	}
+	return count, err
 }
 
 // recordMetrics counts a response by service, request kind and status, and records its
--- a/entry/quarantine/quarantine.go
+++ b/entry/quarantine/quarantine.go
@@ -129,7 +129,7 @@
 
 // RecordUnanswered records that a request of a service got no answer from a backend server
 // before its deadline, or before its caller left. If the server ends soon, as
-// CheckUnanswered finds out from running, that counts as a failure at the present time.
+// CheckUnanswered finds out from running, that counts as a failure at that time.
 func (l *List) RecordUnanswered(digest Digest, service, server string, running func() bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
