entry: test that quarantines reach a fleet of 300 entries

No change of the program. A first version of the test failed because its addresses ended in numbers above 255.

--- a/entry/suspects_test.go
+++ b/entry/suspects_test.go
@@ -12,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
 
@@ -100,8 +101,13 @@
 	handler http.Handler
 }
 
-// RoundTrip returns the handler's response.
-func (h handlerTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+// RoundTrip returns the handler's response, or an error if the handler aborts it.
+func (h handlerTransport) RoundTrip(request *http.Request) (response *http.Response, err error) {
+	defer func() {
+		if aborted := recover(); aborted != nil {
+			err = errors.Errorf("handler: %v", aborted)
+		}
+	}()
 	recorder := httptest.NewRecorder()
 	served := request.Clone(request.Context())
 	if served.Body == nil {
@@ -115,6 +121,8 @@
 type suspectSite struct {
 	network datagramNetwork
 	store   *store.Server
+	// regions is the number of regions among which the entries are spread.
+	regions int
 	// busyServers is the number of servers at which each entry reports requests in flight.
 	busyServers uint32
 	// nodes and stops hold the running entry with an index, and the function that ends it.
@@ -122,12 +130,13 @@
 	stops []func()
 }
 
-// newSuspectSite starts entries in three regions and waits until they have heard of each
-// other. It must be called in a synctest bubble.
-func newSuspectSite(t *testing.T, count int, busyServers uint32) *suspectSite {
+// newSuspectSite starts entries and waits until they have heard of each other. It must be
+// called in a synctest bubble.
+func newSuspectSite(t *testing.T, count, regions int, busyServers uint32) *suspectSite {
 	t.Helper()
 	s := &suspectSite{
 		store:       store.New(),
+		regions:     regions,
 		busyServers: busyServers,
 		nodes:       make([]*platformNode, count),
 		stops:       make([]func(), count),
@@ -136,17 +145,18 @@
 		s.start(index)
 	}
 	t.Cleanup(s.stopAll)
-	time.Sleep(10 * time.Second)
+	time.Sleep(2 * time.Second)
 	return s
 }
 
 // start starts the entry with an index as a new process.
 func (s *suspectSite) start(index int) {
+	ip := fmt.Sprintf("10.0.%d.%d", index/200, index%200+1)
 	n := newPlatformNode(platform.Settings{
 		Name:          fmt.Sprintf("entry-%d", index),
-		Region:        fmt.Sprintf("region-%d", index%3),
-		FailureDomain: fmt.Sprintf("region-%d-a", index%3),
-		IP:            fmt.Sprintf("10.0.0.%d", index+1),
+		Region:        fmt.Sprintf("region-%d", index%s.regions),
+		FailureDomain: fmt.Sprintf("region-%d-a", index%s.regions),
+		IP:            ip,
 		PeerPorts:     [2]int{7720, 7735},
 	}, &log.Logger{
 		Level: log.InfoLevel,
@@ -166,7 +176,7 @@
 			message.InFlight = append(message.InFlight, 1)
 		}
 	}
-	conn := s.network.open(fmt.Sprintf("10.0.0.%d:7720", index+1))
+	conn := s.network.open(net.JoinHostPort(ip, "7720"))
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	group.Go(func() { n.tracker.Run(ctx, conn) })
@@ -213,7 +223,7 @@
 // requests in flight at hundreds of servers.
 func TestQuarantineReachesEntriesWhileManyConnectionsBreak(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSuspectSite(t, 7, 400)
+		s := newSuspectSite(t, 7, 3, 400)
 		for index, n := range s.nodes {
 			for broken := range 20 {
 				n.suspects.RecordFailure(quarantine.Digest{2, byte(index), byte(broken)}, "desk", fmt.Sprintf("i-%010d@1764930000000", broken))
@@ -229,7 +239,7 @@
 // three servers by an entry that starts long after the last crash.
 func TestStartingEntryLearnsQuarantine(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSuspectSite(t, 7, 0)
+		s := newSuspectSite(t, 7, 3, 0)
 		s.crashThree(crashingDigest)
 		time.Sleep(30 * time.Second)
 		for index := range s.nodes {
@@ -246,7 +256,7 @@
 // three servers after all entries were killed at the same time, also repeatedly.
 func TestQuarantineOutlivesAllEntries(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSuspectSite(t, 7, 0)
+		s := newSuspectSite(t, 7, 3, 0)
 		s.crashThree(crashingDigest)
 		time.Sleep(undisturbedWindow)
 		for range 3 {
@@ -265,7 +275,7 @@
 // in silence, each seen by another entry, some seconds before the servers are missed.
 func TestSilentCrashesReachAllEntries(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSuspectSite(t, 7, 0)
+		s := newSuspectSite(t, 7, 3, 0)
 		lost := false
 		for index := range 3 {
 			s.nodes[index].suspects.RecordUnanswered(crashingDigest, "desk", fmt.Sprintf("i-%d@1", index), func() bool { return !lost })
@@ -279,3 +289,14 @@
 		s.assertQuarantined(t, crashingDigest)
 	})
 }
+
+// TestQuarantineReachesLargeFleet guards against retries of a request that has crashed three
+// servers by entries of other regions, to which datagrams are rare in a large fleet.
+func TestQuarantineReachesLargeFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSuspectSite(t, 300, 3, 0)
+		s.crashThree(crashingDigest)
+		time.Sleep(undisturbedWindow)
+		s.assertQuarantined(t, crashingDigest)
+	})
+}
