--- /dev/null
+++ b/entry/platform_site_test.go
@@ -0,0 +1,402 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/phuslu/log"
+	"gotest.tools/v3/assert"
+
+	teaselv1 "github.com/teaselstack/teaselstack/api/teasel/v1"
+	"github.com/teaselstack/teaselstack/platform"
+	"github.com/teaselstack/teaselstack/standin/store"
+)
+
+// datagramDelay is the delay of a datagram in a datagramNetwork: that of the link between
+// two regions.
+const datagramDelay = 55 * time.Millisecond
+
+// datagramNetwork delivers datagrams between the connections that it opened, in memory, so
+// that a synctest bubble can wait for them.
+type datagramNetwork struct {
+	mu    sync.Mutex
+	conns map[string]*datagramConn
+}
+
+// datagramConn is one end of a datagramNetwork.
+type datagramConn struct {
+	net.PacketConn
+	network *datagramNetwork
+	address string
+	arrived chan []byte
+	closed  chan struct{}
+}
+
+// open returns the connection with an address.
+func (n *datagramNetwork) open(address string) *datagramConn {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	conn := &datagramConn{
+		network: n,
+		address: address,
+		arrived: make(chan []byte, 1000),
+		closed:  make(chan struct{}),
+	}
+	if n.conns == nil {
+		n.conns = make(map[string]*datagramConn)
+	}
+	n.conns[address] = conn
+	return conn
+}
+
+// deliver passes a datagram to the connection with an address, if there is one.
+func (n *datagramNetwork) deliver(payload []byte, address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if conn := n.conns[address]; conn != nil {
+		conn.arrived <- payload
+	}
+}
+
+// WriteTo sends a datagram.
+func (c *datagramConn) WriteTo(payload []byte, to net.Addr) (int, error) {
+	content := append([]byte(nil), payload...)
+	time.AfterFunc(datagramDelay, func() { c.network.deliver(content, to.String()) })
+	return len(payload), nil
+}
+
+// ReadFrom waits for the next datagram.
+func (c *datagramConn) ReadFrom(buffer []byte) (int, net.Addr, error) {
+	select {
+	case payload := <-c.arrived:
+		return copy(buffer, payload), nil, nil
+	case <-c.closed:
+		return 0, nil, net.ErrClosed
+	}
+}
+
+// Close ends ReadFrom and drops later datagrams.
+func (c *datagramConn) Close() error {
+	c.network.mu.Lock()
+	defer c.network.mu.Unlock()
+	if c.network.conns[c.address] == c {
+		delete(c.network.conns, c.address)
+	}
+	close(c.closed)
+	return nil
+}
+
+// handlerTransport is an http.RoundTripper that calls a handler without a network.
+type handlerTransport struct {
+	handler http.Handler
+}
+
+// RoundTrip returns the handler's response, or an error if the handler aborts it.
+func (h handlerTransport) RoundTrip(request *http.Request) (response *http.Response, err error) {
+	defer func() {
+		if aborted := recover(); aborted != nil {
+			err = errors.Errorf("handler: %v", aborted)
+		}
+	}()
+	recorder := httptest.NewRecorder()
+	served := request.Clone(request.Context())
+	if served.Body == nil {
+		served.Body = http.NoBody
+	}
+	h.handler.ServeHTTP(recorder, served)
+	return recorder.Result(), nil
+}
+
+// platformSite runs entries that share a store, with servers in memory.
+type platformSite struct {
+	network datagramNetwork
+	store   *store.Server
+	// regions is the number of regions among which the entries and servers are spread.
+	regions int
+	// busyServers is the number of servers, apart from those in memory, at which each entry
+	// reports requests in flight.
+	busyServers uint32
+	// nodes and stops hold the running entry with an index, and the function that ends it.
+	nodes []*platformNode
+	stops []func()
+	// servers is keyed by address.
+	servers map[string]*siteServer
+	// group waits for the goroutines of servers and callers.
+	group sync.WaitGroup
+
+	mu sync.Mutex
+	// serverConns holds the servers' ends of connections.
+	serverConns []net.Conn
+	// statuses counts the responses to callers by status.
+	statuses map[int]int
+}
+
+// newPlatformSite starts entries and waits until they have heard of each other. It must be
+// called in a synctest bubble.
+func newPlatformSite(t *testing.T, site *platformSite, entries, servers int) *platformSite {
+	t.Helper()
+	site.store = store.New()
+	site.nodes = make([]*platformNode, entries)
+	site.stops = make([]func(), entries)
+	site.servers = make(map[string]*siteServer)
+	site.statuses = make(map[int]int)
+	site.store.PutRow(platform.OperatorTable, platform.ConfigurationKey, []byte(`{"version":1,
+"services":[{"name":"desk","health_path":"/healthz","max_conns":330,"cold_start":"1s","cold_per_s":50}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout":"3s","idle_timeout":"15s"},
+"vhosts":[{"host":"desk.example","paths":[
+{"name":"browse","prefix":"/browse/","kind":"safe","timeout":"2s","goal":"600ms","priority":2,"service":"desk","attempts":2,"sticky":true}]}]}`))
+	for index := range servers {
+		site.addServer(index)
+	}
+	for index := range entries {
+		site.start(index)
+	}
+	t.Cleanup(site.close)
+	time.Sleep(2 * time.Second)
+	return site
+}
+
+// addServer adds the server with an index and registers it.
+func (s *platformSite) addServer(index int) {
+	server := &siteServer{
+		id:       fmt.Sprintf("i-%d", index),
+		workTime: 300 * time.Millisecond,
+		told:     make(map[int]time.Time),
+	}
+	address := fmt.Sprintf("10.9.0.%d:8080", index+1)
+	s.servers[address] = server
+	s.store.PutRow(platform.ServerTable, server.id, fmt.Appendf(nil,
+		`{"addr":%q,"info":{"service":"desk","version":"v1","zone":"region-%d-a","slots":3},"status":{"state":"ready","seq":1,"cold_left":"0ms"},"born":1}`,
+		address, index%s.regions))
+}
+
+// memoryStore returns a client for the site's store.
+func (s *platformSite) memoryStore() *platform.Client {
+	return platform.NewClient("http://store", &http.Client{
+		Transport: handlerTransport{
+			handler: s.store,
+		},
+	})
+}
+
+// start starts the entry with an index as a new process.
+func (s *platformSite) start(index int) {
+	ip := fmt.Sprintf("10.0.%d.%d", index/200, index%200+1)
+	regions := make(map[string]string)
+	for region := range s.regions {
+		regions[fmt.Sprintf("region-%d-a", region)] = fmt.Sprintf("region-%d", region)
+	}
+	n := newPlatformNode(platform.Settings{
+		Name:           fmt.Sprintf("entry-%d", index),
+		Region:         fmt.Sprintf("region-%d", index%s.regions),
+		FailureDomain:  fmt.Sprintf("region-%d-a", index%s.regions),
+		DomainRegions:  regions,
+		IP:             ip,
+		PeerPorts:      [2]int{7720, 7735},
+		MaxDescriptors: 4100,
+		Bounds: platform.Bounds{
+			StableWindow: undisturbedWindow,
+			DrainTime:    2500 * time.Millisecond,
+			GracePeriod:  6 * time.Second,
+			RetryRatio:   0.2,
+			RetryWindow:  10 * time.Second,
+			RetrySlack:   56,
+			ColdFactor:   1.5,
+			ColdSlack:    5,
+		},
+	}, &log.Logger{
+		Level: log.InfoLevel,
+		Writer: log.IOWriter{
+			Writer: io.Discard,
+		},
+	}, func() int64 { return 0 })
+	n.tracker.Store, n.registry.OperatorStore, n.registry.ServerStore = s.memoryStore(), s.memoryStore(), s.memoryStore()
+	n.tracker.FillPresence = func(message *teaselv1.Presence) {
+		n.fillPresence(message)
+		for server := range s.busyServers {
+			message.Servers = append(message.Servers, server)
+			message.InFlight = append(message.InFlight, 1)
+		}
+	}
+	n.pool.Dial = func(_ context.Context, address string) (net.Conn, error) { return s.dial(index, address) }
+	conn := s.network.open(net.JoinHostPort(ip, "7720"))
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { n.tracker.Run(ctx, conn) })
+	if len(s.servers) > 0 {
+		group.Go(func() { n.registry.Run(ctx) })
+	}
+	s.nodes[index] = n
+	s.stops[index] = func() {
+		cancel()
+		group.Wait()
+	}
+}
+
+// stopAll ends all entries.
+func (s *platformSite) stopAll() {
+	for _, stop := range s.stops {
+		stop()
+	}
+}
+
+// close ends all entries and servers.
+func (s *platformSite) close() {
+	s.stopAll()
+	s.mu.Lock()
+	for _, conn := range s.serverConns {
+		conn.Close()
+	}
+	s.mu.Unlock()
+	s.group.Wait()
+}
+
+// dial connects an entry to the server with an address.
+func (s *platformSite) dial(entry int, address string) (net.Conn, error) {
+	server := s.servers[address]
+	if server == nil {
+		return nil, errors.Errorf("no server at %s", address)
+	}
+	entryConn, serverConn := net.Pipe()
+	s.mu.Lock()
+	s.serverConns = append(s.serverConns, serverConn)
+	s.mu.Unlock()
+	s.group.Go(func() {
+		defer serverConn.Close()
+		server.serve(entry, serverConn)
+	})
+	return entryConn, nil
+}
+
+// runCallers sends requests for a while, at random times and to random entries, and waits
+// for their responses.
+func (s *platformSite) runCallers(t *testing.T, perSecond float64, duration time.Duration) {
+	t.Helper()
+	random := rand.New(rand.NewPCG(1, 2))
+	var callers sync.WaitGroup
+	for end, number := time.Now().Add(duration), 0; time.Now().Before(end); number++ {
+		request := httptest.NewRequest(http.MethodGet, fmt.Sprintf("/browse/%d-%d", time.Now().UnixNano(), number), http.NoBody)
+		request.Host = "desk.example"
+		request.Header.Set("X-Teaselstack-Request-Id", fmt.Sprintf("r%d-%d", time.Now().UnixNano(), number))
+		request.Header.Set("X-Teaselstack-Deadline-Ms", "4000")
+		request.AddCookie(&http.Cookie{
+			Name:  "X-Teaselstack-Affinity-Key",
+			Value: fmt.Sprint(random.IntN(200)),
+		})
+		node := s.nodes[random.IntN(len(s.nodes))]
+		callers.Go(func() {
+			response := httptest.NewRecorder()
+			node.gateway.ServeHTTP(response, request)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.statuses[response.Code]++
+		})
+		time.Sleep(time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)))
+	}
+	callers.Wait()
+}
+
+// siteServer is a backend server of a platformSite.
+type siteServer struct {
+	id       string
+	workTime time.Duration
+
+	mu sync.Mutex
+	// limit is the value of the header Server-Limit in responses; "" leaves it out.
+	limit string
+	// told holds when the server first sent a response with a limit to an entry.
+	told map[int]time.Time
+	// arrivals holds the requests in the order of their arrival.
+	arrivals []siteArrival
+}
+
+// siteArrival is the arrival of a request of an entry at a server.
+type siteArrival struct {
+	at    time.Time
+	entry int
+}
+
+// setLimit sets the limit that the server states from now on.
+func (s *siteServer) setLimit(limit string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = limit
+}
+
+// serve responds to the requests on a connection until it breaks.
+func (s *siteServer) serve(entry int, conn net.Conn) {
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.arrivals = append(s.arrivals, siteArrival{
+			at:    time.Now(),
+			entry: entry,
+		})
+		s.mu.Unlock()
+		time.Sleep(s.workTime)
+		if _, err := io.WriteString(conn, s.response(entry, request.Header.Get("X-Teaselstack-Request-Id"))); err != nil {
+			return
+		}
+	}
+}
+
+// response returns the response to a request of an entry.
+func (s *siteServer) response(entry int, id string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	statement := ""
+	if s.limit != "" {
+		statement = "Server-Limit: " + s.limit + "\r\n"
+		if _, told := s.told[entry]; !told {
+			s.told[entry] = time.Now()
+		}
+	}
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Teaselstack-Request-Id: %s\r\nX-Teaselstack-Response-Stamp: %s\r\n%sContent-Length: 5\r\n\r\nwhole",
+		id, s.id, statement)
+}
+
+// arrivalsBetween returns the number of requests that arrived in an interval. With toldOnly,
+// only those of entries that had been told of a limit half a second before or earlier count.
+func (s *siteServer) arrivalsBetween(from, to time.Time, toldOnly bool) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := 0
+	for _, arrival := range s.arrivals {
+		told, known := s.told[arrival.entry]
+		if toldOnly && (!known || arrival.at.Sub(told) < 500*time.Millisecond) {
+			continue
+		}
+		if !arrival.at.Before(from) && arrival.at.Before(to) {
+			count++
+		}
+	}
+	return count
+}
+
+// assertWithinLimit checks that in each span of four seconds from a time on, requests of
+// entries that had been told of a limit stayed within one and a half times what the limit
+// allows, plus five.
+func (s *siteServer) assertWithinLimit(t *testing.T, limit float64, from, to time.Time) {
+	t.Helper()
+	const span = 4 * time.Second
+	allowed := 1.5*limit*span.Seconds() + 5
+	for start := from; !start.Add(span).After(to); start = start.Add(50 * time.Millisecond) {
+		count := s.arrivalsBetween(start, start.Add(span), true)
+		assert.Assert(t, float64(count) <= allowed, "server %s with a limit of %g a second got %d requests in four seconds from entries that it had told; allowed %g",
+			s.id, limit, count, allowed)
+	}
+}
