entry/placement: entries together keep the limit that a server states

Callers saw: a server that had stated a limit on the rate of requests got more, 15 in four seconds where 11 were allowed, from entries that it had told.

Cause: no entry read the statement; all sent to the server as before. A limit that each entry kept for itself would not hold either, because it is one of the sum over all entries.

Change: platform decodes the header. A limited server has a few users among the entries, which all entries choose alike; these share the limit by the demand that they tell each other, and send from token buckets.

--- a/entry/gateway/forward.go
+++ b/entry/gateway/forward.go
@@ -26,6 +26,9 @@
 	// maxUnsentAttempts is the number of attempts of which nothing was sent, after which
 	// a request is not retried.
 	maxUnsentAttempts = 4
+	// statementWarningInterval is the shortest time between two log lines about statements
+	// that can't be decoded. A server may send one with each response.
+	statementWarningInterval = time.Second
 )
 
 // errQuarantined is the failure of an attempt that the quarantine prevented, because
@@ -207,6 +210,7 @@
 	if result.response != nil {
 		report = parseLoadReport(result.response.Header.Get(g.HeaderNames.Load))
 		g.classifyResponse(&result, report)
+		g.observeStatement(&result)
 	} else {
 		g.classifyFailure(ctx, req, &result)
 	}
@@ -220,6 +224,24 @@
 	return result
 }
 
+// observeStatement records what the server of an attempt states about itself in its
+// response. The response of another server at its address says nothing about it, nor does
+// one that may belong to another request.
+func (g *Gateway) observeStatement(result *attempt) {
+	if result.reason == outcome.ReasonServerReplaced || result.reason == outcome.ReasonCrossedAnswer {
+		return
+	}
+	statement, err := g.DecodeStatement(result.response.Header)
+	if err != nil {
+		now, last := time.Now().UnixNano(), g.statementWarnedAt.Load()
+		if now-last >= int64(statementWarningInterval) && g.statementWarnedAt.CompareAndSwap(last, now) {
+			g.Logger.Warn().Str("event", "statement-unreadable").Str("server", result.choice.Server.ID).Err(err).Msg("")
+		}
+		return
+	}
+	g.Fleet.ObserveStatement(&result.choice, statement)
+}
+
 // logFailedAttempt logs an attempt whose response is not given to the caller, and
 // whether the request is retried.
 func (g *Gateway) logFailedAttempt(req *proxyRequest, result *attempt, retry bool) {
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -31,6 +31,8 @@
 type Gateway struct {
 	// HeaderNames holds the names of the platform's HTTP headers.
 	HeaderNames header.Names
+	// DecodeStatement decodes what a server states about itself in the header of a response.
+	DecodeStatement func(http.Header) (routing.Statement, error)
 	// Configuration returns the newest configuration, or nil if there is none yet.
 	Configuration func() *routing.Configuration
 	// Fleet chooses the server for each attempt.
@@ -50,6 +52,9 @@
 	inFlight atomic.Int64
 	// bufferedBytes is the total size of the buffered request bodies.
 	bufferedBytes atomic.Int64
+	// statementWarnedAt is when the last line about a statement that can't be decoded was
+	// logged, in nanoseconds of Unix time.
+	statementWarnedAt atomic.Int64
 	// longestTimeouts maps a route's name to an *atomic.Int64 with the longest timeout of
 	// a request on the route, in nanoseconds. A request whose caller sent no timeout
 	// counts with defaultCallerTimeout.
--- a/entry/gateway/harness_test.go
+++ b/entry/gateway/harness_test.go
@@ -23,6 +23,7 @@
 	"github.com/teaselstack/teaselstack/entry/quarantine"
 	"github.com/teaselstack/teaselstack/entry/upstream"
 	"github.com/teaselstack/teaselstack/header"
+	"github.com/teaselstack/teaselstack/platform"
 	"github.com/teaselstack/teaselstack/routing"
 )
 
@@ -84,9 +85,10 @@
 		fleet.Update([]routing.Server{testServer(id, 0)})
 	}
 	h.gateway = &gateway.Gateway{
-		HeaderNames:   headerNames,
-		Configuration: func() *routing.Configuration { return conf },
-		Fleet:         fleet,
+		HeaderNames:     headerNames,
+		DecodeStatement: platform.DecodeStatement,
+		Configuration:   func() *routing.Configuration { return conf },
+		Fleet:           fleet,
 		Pool: &upstream.Pool{
 			HeaderNames:      headerNames,
 			MaxIdlePerServer: func(string) int { return 4 },
--- a/entry/placement/peerreports.go
+++ b/entry/placement/peerreports.go
@@ -77,7 +77,8 @@
 }
 
 // FillPresence adds this entry's report to a message for its peers: the number of its
-// requests in flight at each server, and the servers that fail its requests.
+// requests in flight at each server, the servers that fail its requests, and the limits
+// that servers state.
 func (f *Fleet) FillPresence(message *teaselv1.Presence) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -91,13 +92,15 @@
 			message.Failing = append(message.Failing, server.wireHash())
 		}
 	}
+	f.fillLimits(message, now)
 }
 
 // wireHash returns the truncated hash that identifies the server in presence
 // messages.
 func (s *serverRecord) wireHash() uint32 { return uint32(s.hash) }
 
-// ApplyPresence replaces the report of the peer that sent the message.
+// ApplyPresence replaces the report of the peer that sent the message, and records the
+// limits that servers stated to the peer.
 func (f *Fleet) ApplyPresence(message *teaselv1.Presence) {
 	count := min(len(message.GetServers()), len(message.GetInFlight()))
 	report := &peerReport{
@@ -109,4 +112,5 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.peerReports.replace(message.GetName(), report)
+	f.applyLimits(message, report.receivedAt)
 }
--- a/entry/placement/placement.go
+++ b/entry/placement/placement.go
@@ -23,6 +23,10 @@
 	// OnStateChange is called when the state of a server changes; it may be nil. It
 	// must not call the fleet, whose lock is held.
 	OnStateChange func(server *routing.Server, state ServerState, cause string)
+	// OnLimitChange is called when a server states a limit on the rate of requests, another
+	// limit, or none any more, to this entry or to a peer; it may be nil. It must not call the
+	// fleet, whose lock is held.
+	OnLimitChange func(server *routing.Server, statement routing.Statement, fromPeer bool)
 
 	options options
 	// startedAt is when New was called.
@@ -46,6 +50,13 @@
 	roundTrips  map[string]time.Duration
 	warm        warmObjects
 	peerReports peerReports
+	// byWireHash holds the same servers as servers, keyed by their wire hash.
+	byWireHash map[uint32]*serverRecord
+	// peerDemands is keyed by the peer's name.
+	peerDemands map[string]*peerDemand
+	// entries caches the entries that serve callers, as of entriesAt.
+	entries   []Entry
+	entriesAt time.Time
 	// utilizations is keyed by the name of the service.
 	utilizations map[string]cachedUtilization
 }
@@ -74,6 +85,15 @@
 	failureDomain string
 	// coldRateLimit is set by WithColdRateLimit.
 	coldRateLimit func() (factor, slack float64)
+	// entryName and servingEntries are set by WithEntries.
+	entryName      string
+	servingEntries func() []Entry
+}
+
+// Entry is an entry that serves callers.
+type Entry struct {
+	Name   string
+	Region string
 }
 
 // Option configures a Fleet.
@@ -91,6 +111,13 @@
 	return func(o *options) { o.coldRateLimit = limit }
 }
 
+// WithEntries sets the name of this entry and how to get all entries that serve callers, this
+// one included if it does. By default there is this entry only. The function must not call
+// the fleet, whose lock is held.
+func WithEntries(name string, serving func() []Entry) Option {
+	return func(o *options) { o.entryName, o.servingEntries = name, serving }
+}
+
 // New returns a fleet without servers, for an entry in a region.
 func New(region string, entryPosition func() (index, count int), opts ...Option) *Fleet {
 	fleet := &Fleet{
@@ -99,6 +126,13 @@
 		startedAt:     time.Now(),
 		options: options{
 			coldRateLimit: func() (factor, slack float64) { return 1, 0 },
+			servingEntries: func() []Entry {
+				return []Entry{
+					{
+						Region: region,
+					},
+				}
+			},
 		},
 		servers:         make(map[string]*serverRecord),
 		byService:       make(map[string][]*serverRecord),
@@ -109,6 +143,8 @@
 		serviceTimes:    make(map[string]*serviceTimeEstimate),
 		roundTrips:      make(map[string]time.Duration),
 		utilizations:    make(map[string]cachedUtilization),
+		byWireHash:      make(map[uint32]*serverRecord),
+		peerDemands:     make(map[string]*peerDemand),
 	}
 	for _, option := range opts {
 		option(&fleet.options)
@@ -120,8 +156,10 @@
 // observed of the server.
 type serverRecord struct {
 	routing.Server
-	// registeredAt is when this entry read the registration.
+	// registeredAt is when this entry read the registration, and knownSince when it first
+	// read one of this incarnation.
 	registeredAt time.Time
+	knownSince   time.Time
 	// hash is the hash of the server's ID.
 	hash uint64
 	// inFlight is the number of this entry's requests in flight at the server.
@@ -147,6 +185,7 @@
 	silenceLimit time.Duration
 	// doubtful reports whether the server may be gone.
 	doubtful bool
+	limit    statedLimit
 }
 
 // Request describes a request that is to be placed.
@@ -217,8 +256,8 @@
 // until Done is called with the choice. If the request is refused, Done must not be
 // called. The choice then describes the server with the lowest expected latency of those
 // that were compared, see maxCandidates. Its Server is empty if none was, because every
-// server is at maxLoad, is kept back by the rate limit of cold servers, or may not run
-// the request.
+// server is at maxLoad, is kept back by the rate limit of cold servers or by its own, or
+// may not run the request.
 func (f *Fleet) Choose(request *Request) (Choice, Refusal) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -237,6 +276,12 @@
 		if !candidates.wants(server) || f.load(server, now) >= maxLoad*float64(server.Slots) || !f.withinColdRateLimit(server, now) {
 			continue
 		}
+		if server.limit.limited && candidates.count == 0 {
+			server.limit.countDemand(now)
+		}
+		if !f.withinStatedLimit(server, now) {
+			continue
+		}
 		latency := f.expectedLatency(request, server, rank, now)
 		if best < 0 || latency < bestLatency {
 			best, bestLatency = rank, latency
@@ -315,11 +360,14 @@
 }
 
 // reserve counts a request as in flight at a server. If the server is cold, the
-// request uses up this entry's turn.
+// request uses up this entry's turn, and if it states a limit, a token.
 func (f *Fleet) reserve(server *serverRecord, now time.Time) {
 	if now.Before(server.coldUntil) {
 		server.lastColdTurn, _ = f.coldTurn(server, now)
 	}
+	if server.limit.limited {
+		server.limit.tokens--
+	}
 	server.inFlight++
 }
 
--- a/entry/placement/update.go
+++ b/entry/placement/update.go
@@ -42,7 +42,8 @@
 	newIncarnation := record == nil || record.Incarnation() != registration.Incarnation()
 	if newIncarnation {
 		next := &serverRecord{
-			hash: xxhash.Sum64String(registration.ID),
+			hash:       xxhash.Sum64String(registration.ID),
+			knownSince: now,
 		}
 		if record != nil {
 			next.inFlight = record.inFlight
@@ -98,10 +99,12 @@
 func (f *Fleet) rebuildIndex() {
 	f.byService = make(map[string][]*serverRecord)
 	clear(f.regions)
+	clear(f.byWireHash)
 	for _, id := range slices.Sorted(maps.Keys(f.servers)) {
 		server := f.servers[id]
 		f.byService[server.Service] = append(f.byService[server.Service], server)
 		f.regions[server.Region] = true
+		f.byWireHash[server.wireHash()] = server
 	}
 }
 
--- a/entry/platform_node.go
+++ b/entry/platform_node.go
@@ -109,11 +109,13 @@
 	}
 	n.fleet = placement.New(settings.Region, n.entryPosition,
 		placement.WithFailureDomain(settings.FailureDomain),
+		placement.WithEntries(settings.Name, n.servingEntries),
 		placement.WithColdRateLimit(func() (factor, slack float64) {
 			bounds := n.settings.Load().Bounds
 			return bounds.ColdFactor, bounds.ColdSlack
 		}))
 	n.fleet.OnStateChange = n.logServerState
+	n.fleet.OnLimitChange = n.logServerLimit
 	n.tracker.FillPresence = n.fillPresence
 	n.tracker.ApplyPresence = n.applyPresence
 	n.tracker.FillRow = n.fillRow
@@ -143,10 +145,11 @@
 		FindReader:        n.findReader,
 	}
 	n.gateway = &gateway.Gateway{
-		HeaderNames:   platform.HeaderNames,
-		Configuration: n.registry.Configuration,
-		Fleet:         n.fleet,
-		Pool:          n.pool,
+		HeaderNames:     platform.HeaderNames,
+		DecodeStatement: platform.DecodeStatement,
+		Configuration:   n.registry.Configuration,
+		Fleet:           n.fleet,
+		Pool:            n.pool,
 		RetryBudget: &gateway.RetryBudget{
 			Bounds: func() (ratio, slack float64, window time.Duration) {
 				bounds := n.settings.Load().Bounds
@@ -203,6 +206,26 @@
 		Str("service", server.Service).Str("failure-domain", server.FailureDomain).Int64("sequence", server.Sequence).Msg("")
 }
 
+// logServerLimit logs that a backend server states a limit on the rate of requests, or none
+// any more, to this entry or to a peer.
+func (n *platformNode) logServerLimit(server *routing.Server, statement routing.Statement, fromPeer bool) {
+	n.logger.Info().Str("event", "server-limit").Str("server", server.ID).Str("service", server.Service).
+		Bool("limited", statement.Limited).Float64("per-second", statement.RequestLimit).Bool("from-peer", fromPeer).Msg("")
+}
+
+// servingEntries returns the entries that look-ups may name to callers.
+func (n *platformNode) servingEntries() []placement.Entry {
+	serving := n.tracker.ServingEntries()
+	entries := make([]placement.Entry, 0, len(serving))
+	for _, each := range serving {
+		entries = append(entries, placement.Entry{
+			Name:   each.Name,
+			Region: each.Region,
+		})
+	}
+	return entries
+}
+
 // handleFailure logs that a backend server failed while it ran a request, and whether the
 // request is quarantined from now on. An entry that saw a failure then stores the
 // quarantine.
--- a/entry/platform_site_test.go
+++ b/entry/platform_site_test.go
@@ -123,6 +123,8 @@
 	store   *store.Server
 	// regions is the number of regions among which the entries and servers are spread.
 	regions int
+	// slots is the number of slots of each server.
+	slots int
 	// busyServers is the number of servers, apart from those in memory, at which each entry
 	// reports requests in flight.
 	busyServers uint32
@@ -137,8 +139,11 @@
 	mu sync.Mutex
 	// serverConns holds the servers' ends of connections.
 	serverConns []net.Conn
-	// statuses counts the responses to callers by status.
+	// sent counts the requests of callers, and statuses the responses by status.
+	sent     int
 	statuses map[int]int
+	// longestRefusal is the longest time until a response with status 503.
+	longestRefusal time.Duration
 }
 
 // newPlatformSite starts entries and waits until they have heard of each other. It must be
@@ -176,8 +181,8 @@
 	address := fmt.Sprintf("10.9.0.%d:8080", index+1)
 	s.servers[address] = server
 	s.store.PutRow(platform.ServerTable, server.id, fmt.Appendf(nil,
-		`{"addr":%q,"info":{"service":"desk","version":"v1","zone":"region-%d-a","slots":3},"status":{"state":"ready","seq":1,"cold_left":"0ms"},"born":1}`,
-		address, index%s.regions))
+		`{"addr":%q,"info":{"service":"desk","version":"v1","zone":"region-%d-a","slots":%d},"status":{"state":"ready","seq":1,"cold_left":"0ms"},"born":1}`,
+		address, index%s.regions, s.slots))
 }
 
 // memoryStore returns a client for the site's store.
@@ -293,13 +298,17 @@
 			Name:  "X-Teaselstack-Affinity-Key",
 			Value: fmt.Sprint(random.IntN(200)),
 		})
+		s.sent++
 		node := s.nodes[random.IntN(len(s.nodes))]
 		callers.Go(func() {
-			response := httptest.NewRecorder()
+			response, began := httptest.NewRecorder(), time.Now()
 			node.gateway.ServeHTTP(response, request)
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.statuses[response.Code]++
+			if response.Code == http.StatusServiceUnavailable {
+				s.longestRefusal = max(s.longestRefusal, time.Since(began))
+			}
 		})
 		time.Sleep(time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)))
 	}
--- a/entry/presence/presence.go
+++ b/entry/presence/presence.go
@@ -262,8 +262,8 @@
 // encodeMessage returns the payload of a datagram, which is the same for all peers. The
 // message contains this entry's addresses, region and failure domain if withAddresses is
 // true. If it exceeds maxDatagramBytes, encodeMessage drops the last suspect requests, of
-// which some keep their place because no other message may carry them, and then halves the
-// lists of backend servers until the message fits.
+// which some keep their place because no other message may carry them, then halves the
+// lists of backend servers, and at last the limits, until the message fits.
 func (t *Tracker) encodeMessage(withAddresses bool) ([]byte, error) {
 	self := t.Self()
 	message := &teaselv1.Presence{
@@ -286,6 +286,9 @@
 		payload, err = proto.Marshal(message)
 	}
 	for len(payload) > maxDatagramBytes && err == nil {
+		if len(message.GetServers())+len(message.GetFailing()) == 0 {
+			message.Limits = message.GetLimits()[:len(message.GetLimits())/2]
+		}
 		message.Servers = message.GetServers()[:len(message.GetServers())/2]
 		message.InFlight = message.GetInFlight()[:len(message.GetInFlight())/2]
 		message.Failing = message.GetFailing()[:len(message.GetFailing())/2]
