--- a/entry/registry/registry_test.go
+++ b/entry/registry/registry_test.go
@@ -177,7 +177,7 @@
 
 func (r *recordingRegistry) putServer(id, state string, sequence int) {
 	r.store.PutRow(platform.ServerTable, id, fmt.Appendf(nil,
-		`{"addr":"a","info":{"service":"desk","zone":"north-a","slots":3},"status":{"state":%q,"seq":%d,"cold_left":"0ms"}}`, state, sequence))
+		`{"addr":"10.0.0.9:80","info":{"service":"desk","zone":"north-a","slots":3},"status":{"state":%q,"seq":%d,"cold_left":"0ms"}}`, state, sequence))
 }
 
 func (r *recordingRegistry) configurationVersion() uint64 {
