entry/dispatch: do not believe a refusal of no request on a kept connection

Callers saw: nothing here; other operators reported requests that were refused as not run, or ran at a second server, because a server had sent an earlier refusal once more on a kept connection.

Cause, on the own interface: a server may leave the request's ID out of its response, and a refusal without one was believed on any connection.

Change: on a connection that has served another request, a refusal counts only with the ID of the request. Servers of the stand-in send it.

--- a/entry/dispatch/cluster_test.go
+++ b/entry/dispatch/cluster_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -168,11 +170,18 @@
 	listener := c.network.listen(process, address)
 	httpServer := &http.Server{
 		Handler: handler,
+		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+			return context.WithValue(ctx, connRequestsKey{}, &atomic.Int32{})
+		},
 	}
 	c.goroutines.Go(func() { _ = httpServer.Serve(listener) })
 	return func() { _ = httpServer.Close() }
 }
 
+// connRequestsKey is the key of a context value, an *atomic.Int32 with the number of requests
+// that arrived on a connection.
+type connRequestsKey struct{}
+
 // start starts a new incarnation of an entry.
 func (c *cluster) start(name string) *entryProcess {
 	c.mu.Lock()
@@ -435,8 +444,13 @@
 //   - "crossed" responds with the ID of another request
 //   - "short" responds with a truncated body
 //   - "unframed" responds without a length or chunks
+//   - "repeated-refusal" sends an earlier refusal, without an ID, before it responds, if the
+//     connection has carried a request before
 func (s *backendServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	fault := s.fault(r)
+	if requests, _ := r.Context().Value(connRequestsKey{}).(*atomic.Int32); requests.Add(1) == 1 && fault == "repeated-refusal" {
+		fault = ""
+	}
 	if fault == "shed" {
 		w.Header().Set(header.Shed, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -461,6 +475,15 @@
 		w.Header().Set(header.RequestID, "another")
 	case "short":
 		w.Header().Set("Content-Length", "1000")
+	case "repeated-refusal":
+		connection, buffered, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			_, _ = fmt.Fprintf(buffered, "HTTP/1.1 503 Service Unavailable\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", header.Shed)
+			_, _ = fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", header.RequestID, r.Header.Get(header.RequestID), len(responseBody), responseBody)
+			_ = buffered.Flush()
+			_ = connection.Close()
+		}
+		return
 	case "unframed":
 		connection, buffered, err := http.NewResponseController(w).Hijack()
 		if err == nil {
--- a/entry/dispatch/forward.go
+++ b/entry/dispatch/forward.go
@@ -161,7 +161,7 @@
 		_, bodyErr := req.closeBody(body)
 		return d.forwardFailure(ctx, req, server, trace.phase(), err, bodyErr)
 	}
-	if rejection := checkResponse(req, server, response); rejection != nil {
+	if rejection := checkResponse(req, server, response, trace.reused.Load()); rejection != nil {
 		req.closeBody(body)
 		closeIgnoringError(response.Body)
 		trace.close()
@@ -193,10 +193,13 @@
 
 // checkResponse returns nil for a response that may be copied to the sender. It
 // returns the request's outcome for a response that belongs to another request,
-// that refuses the request, or that isn't framed.
-func checkResponse(req *Request, server *intent.BackendServer, response *http.Response) *outcome.Outcome {
+// that refuses the request, or that isn't framed. A refusal without the request's ID on a
+// reused connection may be one of an earlier request, sent once more.
+func checkResponse(req *Request, server *intent.BackendServer, response *http.Response, reused bool) *outcome.Outcome {
 	echoed := response.Header.Get(header.RequestID)
 	switch {
+	case echoed == "" && reused && response.Header.Get(header.Shed) != "":
+		return newOutcome(outcome.Dispatched, outcome.ReasonCrossedAnswer, "server "+server.Name+" refused a request on a reused connection without saying which")
 	case echoed != "" && echoed != req.ID:
 		return newOutcome(outcome.Dispatched, outcome.ReasonCrossedAnswer, fmt.Sprintf("server %s answered request %s", server.Name, echoed))
 	case response.Header.Get(header.Shed) != "":
@@ -281,12 +284,17 @@
 // connectionTrace records the connection on which net/http sends a request.
 type connectionTrace struct {
 	connection atomic.Pointer[net.Conn]
+	// reused reports whether the connection had served another request before.
+	reused atomic.Bool
 }
 
 // withTrace returns a context for one request, which makes t record its connection.
 func (t *connectionTrace) withTrace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { t.connection.Store(&info.Conn) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			t.connection.Store(&info.Conn)
+			t.reused.Store(info.Reused)
+		},
 	})
 }
 
--- a/entry/dispatch/retry_test.go
+++ b/entry/dispatch/retry_test.go
@@ -247,3 +247,29 @@
 		})
 	})
 }
+
+// TestRepeatedRefusalIsNotBelieved guards against callers that are told that a request has not
+// run, and against a second run at another server, because a server sends an earlier refusal
+// once more on a kept connection.
+func TestRepeatedRefusalIsNotBelieved(t *testing.T) {
+	withCluster(t, func(c *cluster) {
+		// These leave connections to all servers behind.
+		for i := range 40 {
+			c.send(callerRequest{
+				entry: "entry-0",
+				key:   fmt.Sprintf("first-%d", i),
+			})
+		}
+		c.setAllServerFaults(func(*http.Request) string { return "repeated-refusal" })
+		for i := range 20 {
+			key := fmt.Sprintf("second-%d", i)
+			got := c.send(callerRequest{
+				entry: "entry-0",
+				key:   key,
+			})
+			runs := c.runsOfKey(key)
+			assert.Assert(t, runs <= 1, "%s ran %d times", key, runs)
+			assert.Assert(t, got.outcome != "not-run" || runs == 0, "%s ran, and the caller got %+v", key, got)
+		}
+	})
+}
