entry/placement: servers that state that they are leaving get no request

Cause: an entry learnt only from the registration that a server shuts down, late while the store is away, and never from one that says so in its responses alone.

The first response that has it makes the server ineligible until it starts again, whatever the registration says; the entry tells the others for ten seconds with its presence. A value that cannot be decoded leaves the other statements of the response in force.

--- a/entry/gateway/forward.go
+++ b/entry/gateway/forward.go
@@ -237,7 +237,6 @@
 		if now-last >= int64(statementWarningInterval) && g.statementWarnedAt.CompareAndSwap(last, now) {
 			g.Logger.Warn().Str("event", "statement-unreadable").Str("server", result.choice.Server.ID).Err(err).Msg("")
 		}
-		return
 	}
 	g.Fleet.ObserveStatement(&result.choice, statement)
 }
--- /dev/null
+++ b/entry/leaving_test.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/teaselstack/teaselstack/document"
+	"github.com/teaselstack/teaselstack/standin/store"
+)
+
+// TestLeavingServerGetsNoRequests guards against requests to a server that has stated that it
+// is shutting down while its registration still says that it is ready: because the store is
+// away, or because the server never says so there.
+func TestLeavingServerGetsNoRequests(t *testing.T) {
+	for name, fault := range map[string]store.Fault{
+		"store up": {},
+		"store away": {
+			Outage: store.OutageRefuse,
+		},
+		"store slow": {
+			Delay: document.Duration(2 * time.Second),
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newPlatformSite(t, &platformSite{
+					regions: 3,
+					slots:   20,
+				}, 7, 10)
+				s.runCallers(t, 60, 5*time.Second)
+				s.store.SetFault(fault)
+				server := s.servers[limitedServer]
+				server.leave()
+				left := time.Now()
+				s.runCallers(t, 60, 10*time.Second)
+				// The response by which an entry hears of it takes up to the work time. The news
+				// reach the others within a fraction of a second.
+				drained := left.Add(1500 * time.Millisecond)
+				assert.Equal(t, server.arrivalsBetween(drained, time.Now(), false), 0)
+				assert.Equal(t, s.statuses[200], s.sent, "statuses %v", s.statuses)
+				s.store.SetFault(store.Fault{})
+			})
+		})
+	}
+}
--- a/entry/placement/limit.go
+++ b/entry/placement/limit.go
@@ -91,7 +91,10 @@
 	if record == nil || record.Incarnation() != choice.Server.Incarnation() {
 		return
 	}
-	if !statement.Limited && record.limit.statedAt.IsZero() {
+	if statement.Leaving {
+		f.setLeaving(record, time.Now(), true)
+	}
+	if statement.LimitUnknown || !statement.Limited && record.limit.statedAt.IsZero() {
 		return
 	}
 	f.setLimit(record, statement, time.Now(), true)
--- a/entry/placement/peerreports.go
+++ b/entry/placement/peerreports.go
@@ -77,8 +77,8 @@
 }
 
 // FillPresence adds this entry's report to a message for its peers: the number of its
-// requests in flight at each server, the servers that fail its requests, and the limits
-// that servers state.
+// requests in flight at each server, the servers that fail its requests, the limits that
+// servers state, and the servers that state that they are shutting down.
 func (f *Fleet) FillPresence(message *teaselv1.Presence) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -93,14 +93,15 @@
 		}
 	}
 	f.fillLimits(message, now)
+	f.fillLeaving(message, now)
 }
 
 // wireHash returns the truncated hash that identifies the server in presence
 // messages.
 func (s *serverRecord) wireHash() uint32 { return uint32(s.hash) }
 
-// ApplyPresence replaces the report of the peer that sent the message, and records the
-// limits that servers stated to the peer.
+// ApplyPresence replaces the report of the peer that sent the message, and records what
+// servers stated to the peer.
 func (f *Fleet) ApplyPresence(message *teaselv1.Presence) {
 	count := min(len(message.GetServers()), len(message.GetInFlight()))
 	report := &peerReport{
@@ -113,4 +114,5 @@
 	defer f.mu.Unlock()
 	f.peerReports.replace(message.GetName(), report)
 	f.applyLimits(message, report.receivedAt)
+	f.applyLeaving(message, report.receivedAt)
 }
--- a/entry/placement/placement.go
+++ b/entry/placement/placement.go
@@ -186,6 +186,7 @@
 	// doubtful reports whether the server may be gone.
 	doubtful bool
 	limit    statedLimit
+	leaving  statedLeaving
 }
 
 // Request describes a request that is to be placed.
--- a/entry/placement/rank.go
+++ b/entry/placement/rank.go
@@ -22,7 +22,7 @@
 	order := make([]scored, 0, len(servers))
 	failing := 0
 	for _, server := range servers {
-		if server.Draining || server.detector.replaced || f.evacuated[server.FailureDomain] || slices.Contains(request.TriedServerIDs, server.ID) {
+		if server.Draining || server.leaving.leaving || server.detector.replaced || f.evacuated[server.FailureDomain] || slices.Contains(request.TriedServerIDs, server.ID) {
 			continue
 		}
 		if request.Route != nil && !request.Route.AllowsRegion(server.Region) {
--- a/entry/platform_site_test.go
+++ b/entry/platform_site_test.go
@@ -323,7 +323,10 @@
 	mu sync.Mutex
 	// limit is the value of the header Server-Limit in responses; "" leaves it out.
 	limit string
-	// told holds when the server first sent a response with a limit to an entry.
+	// leaving reports whether the server states that it is shutting down.
+	leaving bool
+	// told holds when the server first sent a response with a limit, or that it is leaving, to
+	// an entry.
 	told map[int]time.Time
 	// arrivals holds the requests in the order of their arrival.
 	arrivals []siteArrival
@@ -342,6 +345,13 @@
 	s.limit = limit
 }
 
+// leave makes the server state from now on that it is shutting down.
+func (s *siteServer) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+}
+
 // serve responds to the requests on a connection until it breaks.
 func (s *siteServer) serve(entry int, conn net.Conn) {
 	reader := bufio.NewReader(conn)
@@ -368,8 +378,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	statement := ""
+	if s.leaving {
+		statement = "Server-Leaving: 1\r\n"
+	}
 	if s.limit != "" {
-		statement = "Server-Limit: " + s.limit + "\r\n"
+		statement += "Server-Limit: " + s.limit + "\r\n"
+	}
+	if statement != "" {
 		if _, told := s.told[entry]; !told {
 			s.told[entry] = time.Now()
 		}
--- a/entry/presence/presence.go
+++ b/entry/presence/presence.go
@@ -287,6 +287,9 @@
 	}
 	for len(payload) > maxDatagramBytes && err == nil {
 		if len(message.GetServers())+len(message.GetFailing()) == 0 {
+			if len(message.GetLimits()) == 0 {
+				return nil, errors.Errorf("message of %d bytes does not fit into a datagram", len(payload))
+			}
 			message.Limits = message.GetLimits()[:len(message.GetLimits())/2]
 		}
 		message.Servers = message.GetServers()[:len(message.GetServers())/2]
--- a/routing/statement.go
+++ b/routing/statement.go
@@ -4,6 +4,10 @@
 type Statement struct {
 	// Limited reports whether the server states a limit on the rate of requests.
 	Limited bool
+	// LimitUnknown reports whether the server states a limit that can't be decoded.
+	LimitUnknown bool
 	// RequestLimit is the limit, in requests per second of all entries together.
 	RequestLimit float64
+	// Leaving reports whether the server is shutting down and must get no new request.
+	Leaving bool
 }
