entry/placement: servers that refuse with a Retry-After are left alone for so long

Cause: a refusal with 503 made an entry try another server, but it went on sending further requests to the one that had refused, whatever that had stated.

A request for which a connection was opened meanwhile is not sent. If all servers of a service wait, callers are refused at once with the end of the first wait. The metrics count servers that state something.

--- a/entry/gateway/forward.go
+++ b/entry/gateway/forward.go
@@ -231,7 +231,7 @@
 	if result.reason == outcome.ReasonServerReplaced || result.reason == outcome.ReasonCrossedAnswer {
 		return
 	}
-	statement, err := g.DecodeStatement(result.response.Header)
+	statement, err := g.DecodeStatement(result.response.StatusCode, result.response.Header)
 	if err != nil {
 		now, last := time.Now().UnixNano(), g.statementWarnedAt.Load()
 		if now-last >= int64(statementWarningInterval) && g.statementWarnedAt.CompareAndSwap(last, now) {
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -31,8 +31,9 @@
 type Gateway struct {
 	// HeaderNames holds the names of the platform's HTTP headers.
 	HeaderNames header.Names
-	// DecodeStatement decodes what a server states about itself in the header of a response.
-	DecodeStatement func(http.Header) (routing.Statement, error)
+	// DecodeStatement decodes what a server states about itself in a response with a status and
+	// a header. If it also returns an error, the rest of the statement holds.
+	DecodeStatement func(status int, header http.Header) (routing.Statement, error)
 	// Configuration returns the newest configuration, or nil if there is none yet.
 	Configuration func() *routing.Configuration
 	// Fleet chooses the server for each attempt.
--- a/entry/gateway/refusal.go
+++ b/entry/gateway/refusal.go
@@ -49,6 +49,9 @@
 		if isTransient(req.failureReason) && serviceHasRoom(req.bestCandidate) {
 			retryAfter = shortRetryAfter
 		}
+		if req.bestCandidate != nil {
+			retryAfter += req.bestCandidate.RoomIn
+		}
 		return *notRunRefusal(req.failureReason, retryAfter)
 	}
 	status := http.StatusBadGateway
--- a/entry/placement/limit.go
+++ b/entry/placement/limit.go
@@ -94,6 +94,9 @@
 	if statement.Leaving {
 		f.setLeaving(record, time.Now(), true)
 	}
+	if statement.Wait > 0 {
+		f.setWait(record, statement.Wait)
+	}
 	if statement.LimitUnknown || !statement.Limited && record.limit.statedAt.IsZero() {
 		return
 	}
--- a/entry/placement/placement.go
+++ b/entry/placement/placement.go
@@ -77,6 +77,8 @@
 	StateFailing ServerState = "failing"
 	// StateDoubtful is a server that may be gone, see [Fleet.SetDoubtful].
 	StateDoubtful ServerState = "doubtful"
+	// StateWaiting is a server that wants no request from this entry for some time.
+	StateWaiting ServerState = "waiting"
 )
 
 // options holds the values that an Option sets.
@@ -187,6 +189,8 @@
 	doubtful bool
 	limit    statedLimit
 	leaving  statedLeaving
+	// waitUntil is when the server, which refused a request, wants requests of this entry again.
+	waitUntil time.Time
 }
 
 // Request describes a request that is to be placed.
@@ -228,6 +232,9 @@
 	Slowdown float64
 	// Congestion is how full the service is, from 0 (enough free slots) to 1 (hardly any).
 	Congestion float64
+	// RoomIn is the time until the first server wants requests again, if the request was
+	// refused because all servers want none for some time.
+	RoomIn time.Duration
 
 	// route is the route of the request, or nil.
 	route  *routing.Route
@@ -257,8 +264,8 @@
 // until Done is called with the choice. If the request is refused, Done must not be
 // called. The choice then describes the server with the lowest expected latency of those
 // that were compared, see maxCandidates. Its Server is empty if none was, because every
-// server is at maxLoad, is kept back by the rate limit of cold servers or by its own, or
-// may not run the request.
+// server is at maxLoad, is kept back by the rate limit of cold servers or by its own, wants
+// no requests for some time, or may not run the request.
 func (f *Fleet) Choose(request *Request) (Choice, Refusal) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -274,6 +281,9 @@
 		fleet: f,
 	}
 	for rank, server := range ranked {
+		if now.Before(server.waitUntil) {
+			continue
+		}
 		if !candidates.wants(server) || f.load(server, now) >= maxLoad*float64(server.Slots) || !f.withinColdRateLimit(server, now) {
 			continue
 		}
@@ -295,6 +305,7 @@
 	if best < 0 {
 		return Choice{
 			Congestion: congestion,
+			RoomIn:     roomIn(ranked, now),
 		}, RefusalNoRoom
 	}
 	choice := f.newChoice(ranked[best], best, now)
--- a/entry/placement/summary.go
+++ b/entry/placement/summary.go
@@ -14,6 +14,11 @@
 	Failing  int
 	Cold     int
 	Draining int
+	// Limited, Leaving and Waiting count the servers that state a limit on the rate of requests,
+	// that they are shutting down, or that they want no request for some time.
+	Limited int
+	Leaving int
+	Waiting int
 	// InFlight is the number of this entry's requests in flight at all servers.
 	InFlight int
 }
@@ -36,6 +41,15 @@
 		if server.Draining {
 			sum.Draining++
 		}
+		if server.limit.limited {
+			sum.Limited++
+		}
+		if server.leaving.leaving {
+			sum.Leaving++
+		}
+		if now.Before(server.waitUntil) {
+			sum.Waiting++
+		}
 	}
 	return sum
 }
--- a/entry/placement/update.go
+++ b/entry/placement/update.go
@@ -174,11 +174,11 @@
 
 // Eligible reports whether a server that was chosen earlier may still be sent
 // requests: the same incarnation is registered, it is neither draining nor leaving nor
-// replaced, and its failure domain is not evacuated.
+// replaced, it does not want to wait, and its failure domain is not evacuated.
 func (f *Fleet) Eligible(server *routing.Server) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	record := f.servers[server.ID]
 	return record != nil && record.Incarnation() == server.Incarnation() &&
-		!record.Draining && !record.leaving.leaving && !record.detector.replaced && !f.evacuated[record.FailureDomain]
+		!record.Draining && !record.leaving.leaving && !record.detector.replaced && !time.Now().Before(record.waitUntil) && !f.evacuated[record.FailureDomain]
 }
--- a/entry/platform_site_test.go
+++ b/entry/platform_site_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -142,8 +143,10 @@
 	// sent counts the requests of callers, and statuses the responses by status.
 	sent     int
 	statuses map[int]int
-	// longestRefusal is the longest time until a response with status 503.
-	longestRefusal time.Duration
+	// longestRefusal is the longest time until a response with status 503, and
+	// shortestRetryAfter the shortest Retry-After in one.
+	longestRefusal     time.Duration
+	shortestRetryAfter time.Duration
 }
 
 // newPlatformSite starts entries and waits until they have heard of each other. It must be
@@ -308,6 +311,10 @@
 			s.statuses[response.Code]++
 			if response.Code == http.StatusServiceUnavailable {
 				s.longestRefusal = max(s.longestRefusal, time.Since(began))
+				seconds, err := strconv.ParseFloat(response.Header().Get("Retry-After"), 64)
+				if err == nil {
+					s.shortestRetryAfter = min(s.shortestRetryAfter, time.Duration(seconds*float64(time.Second)))
+				}
 			}
 		})
 		time.Sleep(time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)))
@@ -325,6 +332,11 @@
 	limit string
 	// leaving reports whether the server states that it is shutting down.
 	leaving bool
+	// wait is the value of Retry-After with which the server refuses each request; "" makes it
+	// run requests.
+	wait string
+	// refusals holds the responses with Retry-After: when they were sent, and to which entry.
+	refusals []siteArrival
 	// told holds when the server first sent a response with a limit, or that it is leaving, to
 	// an entry.
 	told map[int]time.Time
@@ -352,6 +364,28 @@
 	s.leaving = true
 }
 
+// refuse makes the server refuse requests with a value of Retry-After; "" makes it run them.
+func (s *siteServer) refuse(wait string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wait = wait
+}
+
+// refusing reports whether the server refuses requests, and records a refusal to an entry if
+// so.
+func (s *siteServer) refusing(entry int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.wait == "" {
+		return false
+	}
+	s.refusals = append(s.refusals, siteArrival{
+		at:    time.Now(),
+		entry: entry,
+	})
+	return true
+}
+
 // serve responds to the requests on a connection until it breaks.
 func (s *siteServer) serve(entry int, conn net.Conn) {
 	reader := bufio.NewReader(conn)
@@ -366,7 +400,9 @@
 			entry: entry,
 		})
 		s.mu.Unlock()
-		time.Sleep(s.workTime)
+		if !s.refusing(entry) {
+			time.Sleep(s.workTime)
+		}
 		if _, err := io.WriteString(conn, s.response(entry, request.Header.Get("X-Teaselstack-Request-Id"))); err != nil {
 			return
 		}
@@ -377,6 +413,10 @@
 func (s *siteServer) response(entry int, id string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.wait != "" {
+		return fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nX-Teaselstack-Request-Id: %s\r\nX-Teaselstack-Not-Executed: 1\r\nRetry-After: %s\r\nContent-Length: 0\r\n\r\n",
+			id, s.wait)
+	}
 	statement := ""
 	if s.leaving {
 		statement = "Server-Leaving: 1\r\n"
@@ -393,6 +433,24 @@
 		id, s.id, statement)
 }
 
+// assertWaited checks that after each refusal, from half a second on to the end of the wait, at
+// most two requests of the entry arrived.
+func (s *siteServer) assertWaited(t *testing.T, wait time.Duration) {
+	t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, refusal := range s.refusals {
+		count := 0
+		for _, arrival := range s.arrivals {
+			since := arrival.at.Sub(refusal.at)
+			if arrival.entry == refusal.entry && since > 500*time.Millisecond && since < wait {
+				count++
+			}
+		}
+		assert.Assert(t, count <= 2, "server %s got %d requests of entry %d while it wanted none for %s", s.id, count, refusal.entry, wait)
+	}
+}
+
 // arrivalsBetween returns the number of requests that arrived in an interval. With toldOnly,
 // only those of entries that had been told of a limit half a second before or earlier count.
 func (s *siteServer) arrivalsBetween(from, to time.Time, toldOnly bool) int {
--- a/routing/statement.go
+++ b/routing/statement.go
@@ -1,5 +1,7 @@
 package routing
 
+import "time"
+
 // Statement is what a backend server states about itself in the header of a response.
 type Statement struct {
 	// Limited reports whether the server states a limit on the rate of requests.
@@ -10,4 +12,7 @@
 	RequestLimit float64
 	// Leaving reports whether the server is shutting down and must get no new request.
 	Leaving bool
+	// Wait is how long the server wants no request from this entry, because it refused one;
+	// 0 if it states nothing of the kind.
+	Wait time.Duration
 }
