entry/placement: shares of a limit by demands of the same age

Cause: an entry weighed its present demand against what the others had told up to five seconds before. While the averages of all entries grew from zero, or the demand itself grows everywhere, the shares added up to more than the limit.

Change: an entry weighs the demand that it had told when the oldest report of another was sent, and the average is corrected for the time before it began. A quarter of the limit is divided equally, so that an entry with few requests collects tokens, and there is one more user.

--- a/entry/placement/limit.go
+++ b/entry/placement/limit.go
@@ -15,22 +15,28 @@
 // A backend server may state a limit on the rate of requests, which holds for the sum over
 // all entries. Only some entries send to such a server, its users: more of them for a higher
 // limit, those of its region first. All entries choose the same users by rendezvous hashing,
-// without messages. The users divide the limit in proportion to their demand, which they tell
-// each other with their presence. Each sends from a token bucket that fills at its share.
+// without messages. The users divide most of the limit in proportion to their demand, which
+// they tell each other with their presence. Each sends from a token bucket that fills at its
+// share.
 
 const (
 	// minUsers is the number of users of a server with the lowest limit. There is one more
 	// for each request per second of the limit. A bucket holds one token, and what its share
 	// brings in bucketTime, so in a span T all users together send at most
 	// limit*(T+bucketTime) + users requests.
-	minUsers = 2
+	minUsers = 3
 	// bucketTime is the time for which a token bucket collects its share beyond one token.
 	bucketTime = time.Second
 	// lowestLimit is the rate in requests per second that stands for any lower limit. It lets
 	// an entry learn that the server no longer states one.
 	lowestLimit = 0.1
 	// demandTime is the time constant of the moving average of an entry's demand.
-	demandTime = 2 * time.Second
+	demandTime = 5 * time.Second
+	// equalPart is the part of a limit that the users divide equally. It lets one that has a
+	// request once in a while collect a token.
+	equalPart = 0.25
+	// minDemandTime is the shortest time for which the average is corrected.
+	minDemandTime = 500 * time.Millisecond
 	// demandLifetime is how long the demand that a peer told counts. It spans the longest
 	// interval between two datagrams to a peer.
 	demandLifetime = 6 * time.Second
@@ -65,10 +71,12 @@
 	tokens     float64
 	refilledAt time.Time
 	// demand is the moving average of this entry's demand in requests per second, as of
-	// demandAt. reportedDemand is what the peers were last told.
-	demand         float64
-	demandAt       time.Time
-	reportedDemand float64
+	// demandAt. It is counted from demandSince on.
+	demand      float64
+	demandAt    time.Time
+	demandSince time.Time
+	// reported holds the demands that the peers were told within demandLifetime, oldest first.
+	reported []reportedDemand
 	// share is this entry's share of the limit in requests per second, as of shareAt. user
 	// reports whether this entry is a user of the server.
 	share   float64
@@ -76,6 +84,12 @@
 	user    bool
 }
 
+// reportedDemand is the demand, in requests per second, that the peers were told at a time.
+type reportedDemand struct {
+	at        time.Time
+	perSecond float64
+}
+
 // peerDemand is the demand for limited servers that a peer told, by the servers' wire hash.
 type peerDemand struct {
 	receivedAt time.Time
@@ -111,6 +125,7 @@
 		// The bucket is empty at first, so that entries that hear of a limit at the same time do
 		// not all send at once.
 		limit.tokens, limit.refilledAt, limit.shareAt = 0, time.Now(), time.Time{}
+		limit.demand, limit.demandAt, limit.demandSince, limit.reported = 0, time.Time{}, time.Now(), nil
 	}
 	limit.limited, limit.perSecond = statement.Limited, statement.RequestLimit
 	limit.statedAt, limit.own, limit.toldAt = statedAt, own, time.Now()
@@ -156,7 +171,8 @@
 	if !slices.Contains(users, f.options.entryName) {
 		return 0, false
 	}
-	total, known := server.limit.reportedDemand, 1
+	total, known := 0.0, 1
+	oldest := now
 	for _, name := range users {
 		if name == f.options.entryName {
 			continue
@@ -164,14 +180,34 @@
 		if told := f.peerDemands[name]; told != nil && now.Sub(told.receivedAt) < demandLifetime {
 			total += told.perSecond[server.wireHash()]
 			known++
+			if told.receivedAt.Before(oldest) {
+				oldest = told.receivedAt
+			}
 		}
 	}
+	own := server.limit.reportedAt(oldest)
+	total += own
 	// A user that has not told its demand is assumed to have the mean of the others.
 	total *= float64(len(users)) / float64(known)
+	equal := 1 / float64(len(users))
 	if total < minReportedDemand {
-		return perSecond / float64(len(users)), true
+		return perSecond * equal, true
 	}
-	return perSecond * server.limit.reportedDemand / total, true
+	return perSecond * (equalPart*equal + (1-equalPart)*own/total), true
+}
+
+// reportedAt returns the demand that the peers had been told at a time, or the first one if
+// they had been told none. The demands of the peers are as old: while all demands grow, a
+// share by the present one of this entry would be too large.
+func (l *statedLimit) reportedAt(at time.Time) float64 {
+	demand := 0.0
+	for i, report := range l.reported {
+		if i > 0 && report.at.After(at) {
+			break
+		}
+		demand = report.perSecond
+	}
+	return demand
 }
 
 // limitUsers returns the names of the entries that send to a server with a limit.
@@ -215,15 +251,25 @@
 // countDemand counts a request for which this entry would choose the server if there were no
 // limit.
 func (l *statedLimit) countDemand(now time.Time) {
-	l.demand = l.demandNow(now) + 1/demandTime.Seconds()
+	if !l.demandAt.IsZero() {
+		l.demand = l.demandRaw(now)
+	}
+	l.demand += 1 / demandTime.Seconds()
 	l.demandAt = now
 }
 
-// demandNow returns this entry's demand in requests per second.
+// demandNow returns this entry's demand in requests per second. The average is corrected for
+// the time before it began, in which no request was counted.
 func (l *statedLimit) demandNow(now time.Time) float64 {
 	if l.demandAt.IsZero() {
 		return 0
 	}
+	counted := max(minDemandTime, now.Sub(l.demandSince))
+	return l.demandRaw(now) / (1 - math.Exp(-counted.Seconds()/demandTime.Seconds()))
+}
+
+// demandRaw returns the moving average, not corrected.
+func (l *statedLimit) demandRaw(now time.Time) float64 {
 	return l.demand * math.Exp(-now.Sub(l.demandAt).Seconds()/demandTime.Seconds())
 }
 
@@ -239,9 +285,11 @@
 		if limit.limited {
 			f.refill(server, now)
 		}
-		limit.reportedDemand = 0
 		news := limit.own && now.Sub(limit.statedAt) < liftedReportTime
-		if news || limit.limited && limit.user && (limit.own || limit.demandNow(now) >= minReportedDemand) {
+		if !limit.user {
+			limit.reported = nil
+		}
+		if news || limit.limited && limit.user {
 			known = append(known, server)
 		}
 	}
@@ -254,14 +302,19 @@
 		}
 		return cmp.Compare(a.hash, b.hash)
 	})
-	for _, server := range known[:min(len(known), maxReportedLimits)] {
+	for i, server := range known {
 		limit := &server.limit
-		if demand := limit.demandNow(now); demand >= minReportedDemand {
-			limit.reportedDemand = demand
+		demand := limit.demandNow(now)
+		if i >= maxReportedLimits || demand < minReportedDemand {
+			demand = 0
+		}
+		limit.recordReport(demand, now)
+		if i >= maxReportedLimits || demand == 0 && !limit.own {
+			continue
 		}
 		report := &teaselv1.ServerLimit{
 			Server: server.wireHash(),
-			Demand: float32(limit.reportedDemand),
+			Demand: float32(demand),
 		}
 		if limit.own {
 			report.Limited, report.PerSecond = limit.limited, limit.perSecond
@@ -272,6 +325,17 @@
 	}
 }
 
+// recordReport records the demand that the peers are told.
+func (l *statedLimit) recordReport(demand float64, now time.Time) {
+	for len(l.reported) > 1 && now.Sub(l.reported[0].at) > demandLifetime {
+		l.reported = l.reported[1:]
+	}
+	l.reported = append(l.reported, reportedDemand{
+		at:        now,
+		perSecond: demand,
+	})
+}
+
 // applyLimits records the limits that servers stated to a peer, and the peer's demand. Of the
 // statements of a server, the latest holds.
 func (f *Fleet) applyLimits(message *teaselv1.Presence, now time.Time) {
