entry/placement: the end of a limit is noticed without demand of its users

Callers saw: nothing; found while reading the code. A server got no more requests although it no longer stated a limit, while only other entries than its users had callers.

Cause: an entry that does not use a limited server asks it again only when nobody tells of the limit any more, and the users went on telling of their last, old statement. A token for that was also taken back within 0.2 s.

Change: the age of the statement counts. After ten seconds, times the number of entries, an entry sends one request without a share.

Measured: TestLiftedLimitIsNoticedWithoutDemandOfUsers failed before, and passes; with a hundred times the age it fails.

--- a/entry/limit_test.go
+++ b/entry/limit_test.go
@@ -146,3 +146,32 @@
 		assert.Assert(t, s.longestRefusal < time.Millisecond, "a refusal took %s", s.longestRefusal)
 	})
 }
+
+// TestLiftedLimitIsNoticedWithoutDemandOfUsers guards against a server that gets no requests any
+// more although it no longer states a limit, because those entries that may send to it have no
+// callers.
+func TestLiftedLimitIsNoticedWithoutDemandOfUsers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newPlatformSite(t, &platformSite{
+			regions: 3,
+			slots:   20,
+		}, 7, 4)
+		server := s.servers[limitedServer]
+		server.setLimit("0.5")
+		s.runCallers(t, 40, 5*time.Second)
+		limited := time.Now()
+		s.runCallers(t, 40, 20*time.Second)
+		users := server.entriesBetween(limited, time.Now())
+		for index, node := range s.nodes {
+			if !users[index] {
+				s.withCallers = append(s.withCallers, node)
+			}
+		}
+		assert.Assert(t, len(users) > 0 && len(s.withCallers) > 0)
+		server.setLimit("")
+		s.runCallers(t, 20, 90*time.Second)
+		noticed := time.Now()
+		s.runCallers(t, 20, 10*time.Second)
+		assert.Assert(t, server.arrivalsBetween(noticed, time.Now(), false) > 20)
+	})
+}
--- a/entry/placement/limit.go
+++ b/entry/placement/limit.go
@@ -42,13 +42,13 @@
 	demandLifetime = 6 * time.Second
 	// shareLifetime is how long an entry's share of a limit is cached.
 	shareLifetime = 100 * time.Millisecond
-	// limitSilence is how long no entry has told of a server's limit until this entry sends
-	// the server one request, and one more after each further such time, to learn whether the
-	// limit still holds.
+	// limitSilence, times the number of entries, is the age of the last statement of a server
+	// from which on an entry may send it a request without a share, to learn whether the limit
+	// still holds. All entries together may so send one in limitSilence.
 	limitSilence = 10 * time.Second
 	// liftedReportTime is how long an entry tells its peers that a server no longer states a
 	// limit, and an entry that does not use the server that it does.
-	liftedReportTime = 5 * time.Second
+	liftedReportTime = 10 * time.Second
 	// maxReportedLimits is the maximum number of limits in a message to the peers.
 	maxReportedLimits = 24
 	// minReportedDemand is the lowest demand, in requests per second, that is told to peers.
@@ -65,8 +65,8 @@
 	// datagram, later by the delay of that.
 	statedAt time.Time
 	own      bool
-	// toldAt is when a server or a peer last told this entry that the limit holds.
-	toldAt time.Time
+	// probedAt is when this entry last got a token because the statement was old.
+	probedAt time.Time
 	// tokens is the number of requests that this entry may send, as of refilledAt.
 	tokens     float64
 	refilledAt time.Time
@@ -128,7 +128,7 @@
 		limit.demand, limit.demandAt, limit.demandSince, limit.reported = 0, time.Time{}, time.Now(), nil
 	}
 	limit.limited, limit.perSecond = statement.Limited, statement.RequestLimit
-	limit.statedAt, limit.own, limit.toldAt = statedAt, own, time.Now()
+	limit.statedAt, limit.own = statedAt, own
 	if changed && f.OnLimitChange != nil {
 		f.OnLimitChange(&server.Server, statement, !own)
 	}
@@ -148,17 +148,19 @@
 func (f *Fleet) refill(server *serverRecord, now time.Time) {
 	limit := &server.limit
 	if now.Sub(limit.shareAt) >= shareLifetime {
+		wasUser := limit.user
 		limit.share, limit.user = f.limitShare(server, now)
 		limit.shareAt = now
+		if wasUser && !limit.user {
+			limit.tokens = 0
+		}
 	}
 	elapsed := now.Sub(limit.refilledAt).Seconds()
 	limit.refilledAt = now
 	limit.tokens = min(1+limit.share*bucketTime.Seconds(), limit.tokens+limit.share*elapsed)
-	if !limit.user {
-		limit.tokens = 0
-	}
-	if now.Sub(limit.toldAt) >= limitSilence {
-		limit.toldAt = now
+	silence := limitSilence * time.Duration(len(f.entries))
+	if now.Sub(limit.statedAt) >= silence && now.Sub(limit.probedAt) >= silence {
+		limit.probedAt = now
 		limit.tokens = max(1, limit.tokens)
 	}
 }
@@ -353,9 +355,6 @@
 		if server == nil {
 			continue
 		}
-		if server.limit.limited {
-			server.limit.toldAt = now
-		}
 		statedAt := now.Add(-time.Duration(report.GetAgeMs()) * time.Millisecond)
 		if report.GetAgeMs() == 0 || !(report.GetPerSecond() >= 0) || !statedAt.After(server.limit.statedAt) || statedAt.Before(server.knownSince) {
 			continue
--- a/entry/platform_site_test.go
+++ b/entry/platform_site_test.go
@@ -132,6 +132,8 @@
 	// nodes and stops hold the running entry with an index, and the function that ends it.
 	nodes []*platformNode
 	stops []func()
+	// withCallers holds the entries that get requests of callers; all do if it is empty.
+	withCallers []*platformNode
 	// servers is keyed by address.
 	servers map[string]*siteServer
 	// group waits for the goroutines of servers and callers.
@@ -302,7 +304,11 @@
 			Value: fmt.Sprint(random.IntN(200)),
 		})
 		s.sent++
-		node := s.nodes[random.IntN(len(s.nodes))]
+		nodes := s.withCallers
+		if len(nodes) == 0 {
+			nodes = s.nodes
+		}
+		node := nodes[random.IntN(len(nodes))]
 		callers.Go(func() {
 			response, began := httptest.NewRecorder(), time.Now()
 			node.gateway.ServeHTTP(response, request)
@@ -469,6 +475,19 @@
 	return count
 }
 
+// entriesBetween returns the entries whose requests arrived in an interval.
+func (s *siteServer) entriesBetween(from, to time.Time) map[int]bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	entries := make(map[int]bool)
+	for _, arrival := range s.arrivals {
+		if !arrival.at.Before(from) && arrival.at.Before(to) {
+			entries[arrival.entry] = true
+		}
+	}
+	return entries
+}
+
 // assertWithinLimit checks that in each span of four seconds from a time on, requests of
 // entries that had been told of a limit stayed within one and a half times what the limit
 // allows, plus five.
