--- a/standin/gate/soak_test.go
+++ b/standin/gate/soak_test.go
@@ -145,6 +145,22 @@
 			}
 		}
 	},
+	func(d *deployment, random *rand.Rand) (string, func()) {
+		first := random.IntN(len(d.servers))
+		affected := []*server.Server{
+			d.servers[first],
+			d.servers[(first+5)%len(d.servers)],
+		}
+		statement := statements[random.IntN(len(statements))]
+		for _, backend := range affected {
+			backend.SetStatement(statement)
+		}
+		return fmt.Sprintf("two servers, first %d, state %+v", first, statement), func() {
+			for _, backend := range affected {
+				backend.SetStatement(server.Statement{})
+			}
+		}
+	},
 	func(d *deployment, _ *rand.Rand) (string, func()) {
 		d.publishConfiguration(fmt.Sprintf(`,{"name":"extra","prefix":"/extra-%d/","kind":"safe","service":"desk"}`, d.configurationVersion))
 		return "new configuration", func() {}
@@ -156,6 +172,30 @@
 	},
 }
 
+// statements lists what servers state about themselves in TestSoak, valid and not.
+var statements = []server.Statement{
+	{
+		Limit: "2",
+	},
+	{
+		Limit: "0.3",
+	},
+	{
+		Wait: "1.5",
+	},
+	{
+		Leaving: "1",
+	},
+	{
+		Limit:   "1e300",
+		Leaving: "NaN",
+	},
+	{
+		Limit: "-1",
+		Wait:  "Sat, 05 Dec 2026 10:00:00 GMT",
+	},
+}
+
 // restartEntry starts an entry again once the process that the fault hit has
 // exited, unless another fault has already led to a restart.
 func (d *deployment) restartEntry(i int, command *exec.Cmd) {
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -78,6 +79,18 @@
 	EndlessShare float64
 }
 
+// Statement is what a server states about itself in its responses. The fields hold values of
+// headers, valid or not; "" leaves the header out.
+type Statement struct {
+	// Limit is the number of requests per second that the server takes from all entries.
+	Limit string
+	// Leaving is "1" for a server that is shutting down.
+	Leaving string
+	// Wait is for how many seconds the server wants no request from an entry. If it is set, the
+	// server refuses all requests.
+	Wait string
+}
+
 // maxRepeatDelay is the longest time until a response is sent a second time. It is longer than
 // a connection is mostly idle.
 const maxRepeatDelay = 60 * time.Millisecond
@@ -102,8 +115,11 @@
 	// Store holds the registration.
 	Store *store.Server
 
-	mu    sync.Mutex
-	fault Fault
+	mu        sync.Mutex
+	fault     Fault
+	statement Statement
+	// arrivals holds when requests arrived since the last SetStatement.
+	arrivals []time.Time
 	// startUnixMS identifies the incarnation: the time of the last Start.
 	startUnixMS int64
 	// sequence is the number of registrations written by this incarnation.
@@ -203,6 +219,39 @@
 	s.fault = fault
 }
 
+// SetStatement replaces what the server states about itself, and forgets the requests that
+// have arrived.
+func (s *Server) SetStatement(statement Statement) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.statement, s.arrivals = statement, nil
+}
+
+// Arrivals returns when requests arrived since the last SetStatement, in their order.
+func (s *Server) Arrivals() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.arrivals)
+}
+
+// arrive records the arrival of a request, sets the headers with which the server states
+// something about itself, and returns whether it refuses the request because of that.
+func (s *Server) arrive(header http.Header) (refuse bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.arrivals = append(s.arrivals, time.Now())
+	for name, value := range map[string]string{
+		"Server-Limit":   s.statement.Limit,
+		"Server-Leaving": s.statement.Leaving,
+		"Retry-After":    s.statement.Wait,
+	} {
+		if value != "" {
+			header.Set(name, value)
+		}
+	}
+	return s.statement.Wait != ""
+}
+
 // register writes the registration with a state and the next sequence number.
 func (s *Server) register(state string) {
 	s.mu.Lock()
@@ -229,6 +278,11 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	if s.arrive(w.Header()) {
+		w.Header().Set(names.NotExecuted, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	fault, admitted := s.admit()
 	if !admitted || id == "" {
 		w.Header().Set(names.NotExecuted, "1")
