--- a/entry/platform_site_test.go
+++ b/entry/platform_site_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -173,6 +174,7 @@
 	}
 	t.Cleanup(site.close)
 	time.Sleep(2 * time.Second)
+	synctest.Wait()
 	return site
 }
 
