entry/quarantine: bound the requests without an answer

Requests recorded while the list was being checked made it longer than its bound, which was compared for equality, so that it grew from then on.

--- a/entry/quarantine/quarantine.go
+++ b/entry/quarantine/quarantine.go
@@ -133,8 +133,8 @@
 func (l *List) RecordUnanswered(digest Digest, service, server string, running func() bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.unanswered) == maxUnanswered {
-		l.unanswered = l.unanswered[1:]
+	if len(l.unanswered) >= maxUnanswered {
+		l.unanswered = l.unanswered[len(l.unanswered)-maxUnanswered+1:]
 	}
 	l.unanswered = append(l.unanswered, unansweredRun{
 		digest:  digest,
--- a/entry/quarantine/quarantine_test.go
+++ b/entry/quarantine/quarantine_test.go
@@ -112,3 +112,27 @@
 		assert.Assert(t, list.Quarantined(requestDigest))
 	})
 }
+
+// TestUnansweredRequestsAreBounded guards against a list that grows while requests get no answer
+// and servers come and go.
+func TestUnansweredRequestsAreBounded(t *testing.T) {
+	var list quarantine.List
+	asked := 0
+	for i := range 4000 {
+		list.RecordUnanswered(quarantine.Digest([]byte(fmt.Sprintf("request %08d", i))), "offers", "server-1", func() bool {
+			asked++
+			if asked%7 == 0 {
+				// The list may be changed while servers are asked about.
+				list.RecordUnanswered(requestDigest, "offers", "server-2", func() bool { return true })
+			}
+			return true
+		})
+		if i%600 == 599 {
+			list.CheckUnanswered()
+		}
+	}
+	asked = 0
+	list.CheckUnanswered()
+	// 512 is maxUnanswered.
+	assert.Assert(t, asked <= 512, "%d requests", asked)
+}
