entry/gateway: a refusal without a limit does not lift it

Callers saw: nothing; found while reading the diff.

Cause: any response without the header ended the limit. A server that refuses a request may do so before it gets to state anything, and each such refusal let all entries send until the next full response.

Change: a refusal can state a limit, and not end one. Demands that peers told are forgotten after their lifetime.

--- a/entry/gateway/forward.go
+++ b/entry/gateway/forward.go
@@ -226,7 +226,7 @@
 
 // observeStatement records what the server of an attempt states about itself in its
 // response. The response of another server at its address says nothing about it, nor does
-// one that may belong to another request.
+// one that may belong to another request. A refusal may leave out a limit that still holds.
 func (g *Gateway) observeStatement(result *attempt) {
 	if result.reason == outcome.ReasonServerReplaced || result.reason == outcome.ReasonCrossedAnswer {
 		return
@@ -238,6 +238,9 @@
 			g.Logger.Warn().Str("event", "statement-unreadable").Str("server", result.choice.Server.ID).Err(err).Msg("")
 		}
 	}
+	if !result.mayHaveRun && !statement.Limited {
+		statement.LimitUnknown = true
+	}
 	g.Fleet.ObserveStatement(&result.choice, statement)
 }
 
--- a/entry/limit_test.go
+++ b/entry/limit_test.go
@@ -175,3 +175,21 @@
 		assert.Assert(t, server.arrivalsBetween(noticed, time.Now(), false) > 20)
 	})
 }
+
+// TestRefusalDoesNotLiftLimit guards against more requests than a limit allows because the server
+// refuses some without stating it.
+func TestRefusalDoesNotLiftLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newPlatformSite(t, &platformSite{
+			regions: 3,
+			slots:   20,
+		}, 7, 10)
+		server := s.servers[limitedServer]
+		s.runCallers(t, 60, 5*time.Second)
+		server.setLimit("1")
+		server.refuseEvery = 2
+		named := time.Now()
+		s.runCallers(t, 200, 20*time.Second)
+		server.assertWithinLimit(t, 1, named.Add(undisturbedWindow), time.Now())
+	})
+}
--- a/entry/placement/limit.go
+++ b/entry/placement/limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -368,4 +369,5 @@
 		}, statedAt, false)
 	}
 	f.peerDemands[message.GetName()] = demand
+	maps.DeleteFunc(f.peerDemands, func(_ string, told *peerDemand) bool { return now.Sub(told.receivedAt) > demandLifetime })
 }
--- a/entry/platform_site_test.go
+++ b/entry/platform_site_test.go
@@ -338,6 +338,9 @@
 	mu sync.Mutex
 	// limit is the value of the header Server-Limit in responses; "" leaves it out.
 	limit string
+	// refuseEvery makes the server refuse each request whose number is a multiple of it, without
+	// any statement; 0 means none.
+	refuseEvery int
 	// leaving reports whether the server states that it is shutting down.
 	leaving bool
 	// wait is the value of Retry-After with which the server refuses each request; "" makes it
@@ -421,6 +424,9 @@
 func (s *siteServer) response(entry int, id string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.refuseEvery > 0 && len(s.arrivals)%s.refuseEvery == 0 {
+		return fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nX-Teaselstack-Request-Id: %s\r\nX-Teaselstack-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id)
+	}
 	if s.wait != "" {
 		return fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nX-Teaselstack-Request-Id: %s\r\nX-Teaselstack-Not-Executed: 1\r\nRetry-After: %s\r\nContent-Length: 0\r\n\r\n",
 			id, s.wait)
--- a/entry/presence/presence.go
+++ b/entry/presence/presence.go
@@ -1,10 +1,11 @@
 // Package presence lets entries discover each other and exchange state. Each entry
 // writes one row to the platform's store, with its name, region, failure domain,
-// addresses and what must outlive its process, and finds the others by their rows. It then sends them UDP datagrams. A
-// datagram holds one encoded teaselv1.Presence, called the message, and also serves as a
-// heartbeat: a peer whose datagrams stop is considered dead. The message carries the
-// number of the entry's requests in flight at each backend server, the servers that it
-// finds failing, and its suspect requests (see package quarantine).
+// addresses and what must outlive its process, and finds the others by their rows. It then
+// sends them UDP datagrams. A datagram holds one encoded teaselv1.Presence, called the
+// message, and also serves as a heartbeat: a peer whose datagrams stop is considered dead.
+// The message carries the number of the entry's requests in flight at each backend server,
+// the servers that it finds failing, its suspect requests (see package quarantine), and
+// what servers have stated to it.
 package presence
 
 import (
--- a/routing/statement.go
+++ b/routing/statement.go
@@ -6,7 +6,8 @@
 type Statement struct {
 	// Limited reports whether the server states a limit on the rate of requests.
 	Limited bool
-	// LimitUnknown reports whether the server states a limit that can't be decoded.
+	// LimitUnknown reports whether the response leaves open whether there is a limit, for
+	// instance because the value can't be decoded.
 	LimitUnknown bool
 	// RequestLimit is the limit, in requests per second of all entries together.
 	RequestLimit float64
