--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -28,6 +28,7 @@
 // happens.
 var cases = map[string]func(d *deployment, trouble bool) verdict{
 	"stop-chunked": stopChunked,
+	"stop-late":    stopLate,
 }
 
 func main() {
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -163,15 +163,18 @@
 	defer cancel()
 	select {
 	case tokens <- struct{}{}:
+		defer func() { <-tokens }()
 	case <-ctx.Done():
+	}
+	if ctx.Err() != nil {
 		b.count(-1, 0)
+		b.record.log("server %s has not begun to run %s when its connection was closed or its deadline passed", b.id, id)
 		w.Header().Set(notRunHeader, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	b.count(-1, 1)
 	defer b.count(0, -1)
-	defer func() { <-tokens }()
 	b.run(ctx, w, r, id)
 }
 
--- a/review/standin/stop.go
+++ b/review/standin/stop.go
@@ -14,8 +14,9 @@
 	// which a request must have been sent for the excuse of the last sixth of it.
 	grace       = 6 * time.Second
 	excusedTime = 3 * time.Second
-	// sendsTimeout is the time-out of the route "sends".
-	sendsTimeout = 2 * time.Second
+	// sendsTimeout and uploadsTimeout are the time-outs of the routes "sends" and "uploads".
+	sendsTimeout   = 2 * time.Second
+	uploadsTimeout = 5 * time.Second
 	// chunkedCallers is the number of callers at each entry that send bodies in chunks.
 	chunkedCallers = 6
 )
@@ -105,7 +106,7 @@
 			return nil, err
 		}
 	}
-	return lostRequests(d, append(uploads.all, last.all...), stoppedAt), nil
+	return append(lostRequests(d, uploads.all, stoppedAt, uploadsTimeout), lostRequests(d, last.all, stoppedAt, sendsTimeout)...), nil
 }
 
 // awaitEnd waits until a process that got SIGTERM has ended, kills it at the end of the grace
@@ -126,12 +127,12 @@
 // lostRequests returns the requests that a server began to run and whose connection ended
 // without a complete answer, before the time-out of their route, unless they were sent so early
 // after the stop that work in the last sixth of the grace period excuses it.
-func lostRequests(d *deployment, all []result, stoppedAt time.Time) []string {
+func lostRequests(d *deployment, all []result, stoppedAt time.Time, timeout time.Duration) []string {
 	var lost []string
 	for _, each := range all {
 		ran := d.record.ranOn(each.id)
 		sent, took := each.sentAt.Sub(stoppedAt), each.endAt.Sub(each.sentAt)
-		if each.status != 0 || len(ran) == 0 || took >= sendsTimeout || sent <= excusedTime {
+		if each.status != 0 || len(ran) == 0 || took >= timeout || sent <= excusedTime {
 			continue
 		}
 		lost = append(lost, fmt.Sprintf("LOST: %s, sent %s after SIGTERM, was passed on to %s and its connection ended without an answer %s later, %s after SIGTERM",
