--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,6 +29,7 @@
 var cases = map[string]func(d *deployment, trouble bool) verdict{
 	"stop-chunked": stopChunked,
 	"stop-late":    stopLate,
+	"crashing":     crashing,
 }
 
 func main() {
