--- a/review/standin/stop.go
+++ b/review/standin/stop.go
@@ -76,7 +76,7 @@
 	if trouble {
 		d.signal(stopping, syscall.SIGTERM)
 	}
-	// Uploads of ordinary length, which the entry still has to answer, and does.
+	// Uploads with a length, which the entry still has to answer, and does.
 	for i := range 3 {
 		group.Go(func() {
 			time.Sleep(time.Until(stoppedAt.Add(2600 * time.Millisecond)))
@@ -93,6 +93,14 @@
 	}
 	for i, c := range callers {
 		group.Go(func() {
+			if i%2 == 0 {
+				time.Sleep(time.Until(stoppedAt.Add(3200 * time.Millisecond)))
+				uploads.add(c.send(call{
+					id: fmt.Sprintf("chunked-upload-%d-%d", stopping.index, i), method: http.MethodPost, path: "/uploads/2", body: strings.Repeat("x", 8000),
+					chunked: true, work: 2400 * time.Millisecond, deadline: 5 * time.Second,
+				}))
+				return
+			}
 			time.Sleep(time.Until(stoppedAt.Add(4500 * time.Millisecond)))
 			last.add(c.send(call{
 				id: fmt.Sprintf("last-%d-%d", stopping.index, i), method: http.MethodPost, path: "/sends/2", body: strings.Repeat("x", 1200),
