--- a/review/standin/crash.go
+++ b/review/standin/crash.go
@@ -19,10 +19,14 @@
 // stops and starts all entries in turn, twice.
 func crashing(d *deployment, trouble bool) verdict {
 	if err := d.addServers("desk", 8, 3); err != nil {
-		return verdict{err: err}
+		return verdict{
+			err: err,
+		}
 	}
 	if err := d.startEntries(3); err != nil {
-		return verdict{err: err}
+		return verdict{
+			err: err,
+		}
 	}
 	number := 0
 	send := func(count int) {
@@ -32,8 +36,13 @@
 				entry:  d.entries[number%len(d.entries)].ip,
 			}
 			c.send(call{
-				id: fmt.Sprintf("crash-%d", number), method: http.MethodPost, path: "/sends/13", body: "the same body",
-				work: 300 * time.Millisecond, deadline: 6 * time.Second, crash: true,
+				id:       fmt.Sprintf("crash-%d", number),
+				method:   http.MethodPost,
+				path:     "/sends/13",
+				body:     "the same body",
+				work:     300 * time.Millisecond,
+				deadline: 6 * time.Second,
+				crash:    true,
 			})
 			c.close()
 			number++
@@ -49,7 +58,9 @@
 			continue
 		}
 		if err := d.restartAll(); err != nil {
-			return verdict{err: err}
+			return verdict{
+				err: err,
+			}
 		}
 	}
 	send(4)
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -59,8 +58,7 @@
 type entry struct {
 	index   int
 	ip      string
-	command *exec.Cmd
-	output  *os.File
+	process *os.Process
 	exited  chan struct{}
 }
 
@@ -148,19 +146,21 @@
 	if err != nil {
 		return err
 	}
-	command := exec.Command(filepath.Join(d.root, entryCommand[0]), entryCommand[1:]...)
-	command.Dir = d.root
-	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "TEASELSTACK_NODE_FILE=" + settings}
-	command.Stdout, command.Stderr = output, output
-	if err := command.Start(); err != nil {
+	defer output.Close()
+	program := filepath.Join(d.root, entryCommand[0])
+	process, err := os.StartProcess(program, append([]string{program}, entryCommand[1:]...), &os.ProcAttr{
+		Dir:   d.root,
+		Env:   []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "TEASELSTACK_NODE_FILE=" + settings},
+		Files: []*os.File{nil, output, output},
+	})
+	if err != nil {
 		return err
 	}
 	exited := make(chan struct{})
-	e.command, e.output, e.exited = command, output, exited
+	e.process, e.exited = process, exited
 	d.group.Go(func() {
-		err := command.Wait()
-		d.record.log("entry %s has ended: %v", e.ip, err)
-		_ = output.Close()
+		state, err := process.Wait()
+		d.record.log("entry %s has ended: %v, %v", e.ip, state, err)
 		close(exited)
 	})
 	d.record.log("entry %s starts", e.ip)
@@ -215,21 +215,21 @@
 // signal sends a signal to the process of an entry.
 func (d *deployment) signal(e *entry, sig syscall.Signal) {
 	d.record.log("entry %s gets the signal %s", e.ip, sig)
-	_ = e.command.Process.Signal(sig)
+	_ = e.process.Signal(sig)
 }
 
 // close ends all processes that were started, and keeps the logs of the entries if keep names
 // a directory.
 func (d *deployment) close() {
 	for _, e := range d.entries {
-		if e.command == nil {
+		if e.process == nil {
 			continue
 		}
 		select {
 		case <-e.exited:
 		default:
-			_ = e.command.Process.Signal(syscall.SIGCONT)
-			_ = e.command.Process.Kill()
+			_ = e.process.Signal(syscall.SIGCONT)
+			_ = e.process.Kill()
 			<-e.exited
 		}
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -30,6 +30,7 @@
 	"stop-chunked": stopChunked,
 	"stop-late":    stopLate,
 	"crashing":     crashing,
+	"lose-zone":    loseZone,
 }
 
 func main() {
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -44,10 +44,15 @@
 	address string
 	slots   int
 
-	mu      sync.Mutex
-	born    int64
-	seq     int64
-	server  *http.Server
+	mu     sync.Mutex
+	born   int64
+	seq    int64
+	server *http.Server
+	// listener is that of server, and off is closed when the server loses power.
+	listener net.Listener
+	off      chan struct{}
+	// beatAt is when the registration was last written.
+	beatAt  time.Time
 	running int
 	waiting int
 	tokens  chan struct{}
@@ -74,7 +79,7 @@
 	b.mu.Lock()
 	b.born, b.seq, b.running, b.waiting = time.Now().UnixMilli(), 0, 0, 0
 	b.tokens = make(chan struct{}, b.slots)
-	b.server = server
+	b.server, b.listener, b.off = server, listener, make(chan struct{})
 	b.mu.Unlock()
 	b.group.Go(func() { _ = server.Serve(listener) })
 	b.register()
@@ -90,6 +95,7 @@
 		return
 	}
 	b.seq++
+	b.beatAt = time.Now()
 	value := fmt.Appendf(nil, `{"addr":%q,"info":{"service":%q,"version":"v1","zone":%q,"slots":%d},"status":{"state":"ready","seq":%d,"cold_left":"0ms"},"born":%d}`,
 		b.address, b.service, b.zone, b.slots, b.seq, b.born)
 	b.mu.Unlock()
@@ -114,7 +120,7 @@
 	}
 }
 
-// state returns the value of the load header, and sets the headers by which the server states
+// describe sets the load header, and the headers by which the server states
 // something about itself.
 func (b *backend) describe(header http.Header) {
 	header.Set(loadHeader, fmt.Sprintf("%d,%d,%d", b.running, b.waiting, b.slots))
@@ -142,6 +148,14 @@
 	}
 	arrived := time.Now()
 	b.mu.Lock()
+	off := b.off
+	b.mu.Unlock()
+	select {
+	case <-off:
+		silent(r)
+	default:
+	}
+	b.mu.Lock()
 	b.describe(w.Header())
 	wait := time.Until(b.refuseUntil)
 	full := b.running+b.waiting >= (1+queuePerSlot)*b.slots
@@ -150,7 +164,14 @@
 		if wait > 0 {
 			w.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 2, 64))
 		}
-		b.record.arrival(arrival{At: arrived, ID: id, Server: b.id, From: from, Refused: true, Wait: max(0, wait)})
+		b.record.arrival(arrival{
+			At:      arrived,
+			ID:      id,
+			Server:  b.id,
+			From:    from,
+			Refused: true,
+			Wait:    max(0, wait),
+		})
 		w.Header().Set(notRunHeader, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -158,7 +179,13 @@
 	b.waiting++
 	tokens := b.tokens
 	b.mu.Unlock()
-	b.record.arrival(arrival{At: arrived, ID: id, Server: b.id, From: from, Limit: b.limit})
+	b.record.arrival(arrival{
+		At:     arrived,
+		ID:     id,
+		Server: b.id,
+		From:   from,
+		Limit:  b.limit,
+	})
 	ctx, cancel := context.WithTimeout(r.Context(), milliseconds(r.Header.Get(deadlineHeader), time.Minute))
 	defer cancel()
 	select {
@@ -175,11 +202,17 @@
 	}
 	b.count(-1, 1)
 	defer b.count(0, -1)
-	b.run(ctx, w, r, id)
+	b.run(ctx, w, r, id, off)
+}
+
+// silent waits until the connection of a request is closed, and sends no answer.
+func silent(r *http.Request) {
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
 }
 
 // run runs a request that has a slot.
-func (b *backend) run(ctx context.Context, w http.ResponseWriter, r *http.Request, id string) {
+func (b *backend) run(ctx context.Context, w http.ResponseWriter, r *http.Request, id string, off chan struct{}) {
 	b.record.run(id, b.id)
 	if r.Header.Get(crashHeader) != "" {
 		b.record.log("server %s runs %s and crashes", b.id, id)
@@ -188,6 +221,11 @@
 		panic(http.ErrAbortHandler)
 	}
 	done := sleep(ctx, milliseconds(r.Header.Get(workHeader), 100*time.Millisecond))
+	select {
+	case <-off:
+		silent(r)
+	default:
+	}
 	switch {
 	case r.Context().Err() != nil:
 		b.record.log("server %s drops %s, whose connection was closed while it ran", b.id, id)
--- a/review/standin/stop.go
+++ b/review/standin/stop.go
@@ -25,19 +25,27 @@
 // kept open and on which they have sent a body in chunks before.
 func stopChunked(d *deployment, trouble bool) verdict {
 	if err := d.addServers("desk", 6, 3); err != nil {
-		return verdict{err: err}
+		return verdict{
+			err: err,
+		}
 	}
 	if err := d.addServers("intake", 6, 3); err != nil {
-		return verdict{err: err}
+		return verdict{
+			err: err,
+		}
 	}
 	if err := d.startEntries(len(zones)); err != nil {
-		return verdict{err: err}
+		return verdict{
+			err: err,
+		}
 	}
 	var broken []string
 	for _, stopping := range d.entries {
 		lost, err := d.stopUnderChunkedLoad(stopping, trouble)
 		if err != nil {
-			return verdict{err: err}
+			return verdict{
+				err: err,
+			}
 		}
 		broken = append(broken, lost...)
 	}
@@ -61,8 +69,13 @@
 		defer c.close()
 		group.Go(func() {
 			first.add(c.send(call{
-				id: fmt.Sprintf("first-%d-%d", stopping.index, i), method: http.MethodPost, path: "/sends/1", body: strings.Repeat("x", 1200),
-				chunked: true, work: 300 * time.Millisecond, deadline: 6 * time.Second,
+				id:       fmt.Sprintf("first-%d-%d", stopping.index, i),
+				method:   http.MethodPost,
+				path:     "/sends/1",
+				body:     strings.Repeat("x", 1200),
+				chunked:  true,
+				work:     300 * time.Millisecond,
+				deadline: 6 * time.Second,
 			}))
 		})
 	}
@@ -86,8 +99,12 @@
 			}
 			defer c.close()
 			uploads.add(c.send(call{
-				id: fmt.Sprintf("upload-%d-%d", stopping.index, i), method: http.MethodPost, path: "/uploads/1", body: strings.Repeat("x", 8000),
-				work: 2400 * time.Millisecond, deadline: 5 * time.Second,
+				id:       fmt.Sprintf("upload-%d-%d", stopping.index, i),
+				method:   http.MethodPost,
+				path:     "/uploads/1",
+				body:     strings.Repeat("x", 8000),
+				work:     2400 * time.Millisecond,
+				deadline: 5 * time.Second,
 			}))
 		})
 	}
@@ -96,15 +113,25 @@
 			if i%2 == 0 {
 				time.Sleep(time.Until(stoppedAt.Add(3200 * time.Millisecond)))
 				uploads.add(c.send(call{
-					id: fmt.Sprintf("chunked-upload-%d-%d", stopping.index, i), method: http.MethodPost, path: "/uploads/2", body: strings.Repeat("x", 8000),
-					chunked: true, work: 2400 * time.Millisecond, deadline: 5 * time.Second,
+					id:       fmt.Sprintf("chunked-upload-%d-%d", stopping.index, i),
+					method:   http.MethodPost,
+					path:     "/uploads/2",
+					body:     strings.Repeat("x", 8000),
+					chunked:  true,
+					work:     2400 * time.Millisecond,
+					deadline: 5 * time.Second,
 				}))
 				return
 			}
 			time.Sleep(time.Until(stoppedAt.Add(4500 * time.Millisecond)))
 			last.add(c.send(call{
-				id: fmt.Sprintf("last-%d-%d", stopping.index, i), method: http.MethodPost, path: "/sends/2", body: strings.Repeat("x", 1200),
-				chunked: true, work: 1160 * time.Millisecond, deadline: 6 * time.Second,
+				id:       fmt.Sprintf("last-%d-%d", stopping.index, i),
+				method:   http.MethodPost,
+				path:     "/sends/2",
+				body:     strings.Repeat("x", 1200),
+				chunked:  true,
+				work:     1160 * time.Millisecond,
+				deadline: 6 * time.Second,
 			}))
 		})
 	}
--- a/review/standin/stoplate.go
+++ b/review/standin/stoplate.go
@@ -16,16 +16,22 @@
 // which the platform excuses work that isn't done at the end.
 func stopLate(d *deployment, trouble bool) verdict {
 	if err := d.addServers("intake", 6, 3); err != nil {
-		return verdict{err: err}
+		return verdict{
+			err: err,
+		}
 	}
 	if err := d.startEntries(3); err != nil {
-		return verdict{err: err}
+		return verdict{
+			err: err,
+		}
 	}
 	var broken []string
 	for _, stopping := range d.entries[:2] {
 		lost, err := d.stopUnderUploads(stopping, trouble)
 		if err != nil {
-			return verdict{err: err}
+			return verdict{
+				err: err,
+			}
 		}
 		broken = append(broken, lost...)
 	}
@@ -59,8 +65,12 @@
 			}
 			time.Sleep(time.Until(sendAt))
 			uploads.add(c.send(call{
-				id: fmt.Sprintf("upload-%d-%d", stopping.index, i), method: http.MethodPost, path: "/uploads/1", body: strings.Repeat("x", 8000),
-				work: lateWork, deadline: 5 * time.Second,
+				id:       fmt.Sprintf("upload-%d-%d", stopping.index, i),
+				method:   http.MethodPost,
+				path:     "/uploads/1",
+				body:     strings.Repeat("x", 8000),
+				work:     lateWork,
+				deadline: 5 * time.Second,
 			}))
 		})
 	}
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -76,14 +76,25 @@
 func (s *store) put(table, key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.commit([]storeRow{{Table: table, Key: key, Value: value}}, nil)
+	s.commit([]storeRow{
+		{
+			Table: table,
+			Key:   key,
+			Value: value,
+		},
+	}, nil)
 }
 
 // remove removes a row, if there is one.
 func (s *store) remove(table, key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.commit(nil, []storeRow{{Table: table, Key: key}})
+	s.commit(nil, []storeRow{
+		{
+			Table: table,
+			Key:   key,
+		},
+	})
 }
 
 // commit applies a transaction. s.mu must be held.
