--- a/review/build.sh
+++ b/review/build.sh
@@ -1,6 +1,6 @@
 #!/bin/bash
 # Builds the stand-ins that the scripts of the cases start, into target/review/.
 set -e
-cd "$(dirname "$0")/standin"
-mkdir -p ../../target/review
-GOWORK=off GOFLAGS=-buildvcs=false go build -o ../../target/review/standin .
+cd "$(dirname "$0")"
+mkdir -p ../target/review
+GOWORK=off GOFLAGS=-buildvcs=false go build -o ../target/review/standin .
