entry: refuse requests that outlast a planned stop

Uploads can't be repeated. Cause: an entry takes requests for three seconds after SIGTERM and, until it stops reading, for up to 0.6 s longer. It passed them on without asking whether they could be answered before its end. Change: from 2.8 s after SIGTERM on, the gateway serves a request only if its deadline, and the wait for an answer at the deadline, are before the end of the stop. It refuses the others at once as not run, with a Retry-After of 20 ms: another entry can serve them. The process has no other work left by then that a caller would miss. The 0.2 s less are for the delivery of the signal and of requests.

--- a/entry/gateway/forward.go
+++ b/entry/gateway/forward.go
@@ -84,10 +84,22 @@
 		return outcome.ReasonQuarantined
 	case time.Until(req.responseDeadline) < minTimeToSend || ctx.Err() != nil:
 		return endReason(req)
+	case req.sentAttempts == 0 && g.outlastsShutdown(req):
+		return outcome.ReasonStopping
 	}
 	return ""
 }
 
+// outlastsShutdown reports whether the response to a request may be due after the end of the
+// entry's shutdown, when it would be cut off.
+func (g *Gateway) outlastsShutdown(req *proxyRequest) bool {
+	if g.ResponsesDue == nil {
+		return false
+	}
+	due := g.ResponsesDue()
+	return !due.IsZero() && req.responseDeadline.Add(responseGrace).After(due)
+}
+
 // endReason returns why there is no more time for a request: its caller has left, or its
 // deadline has expired.
 func endReason(req *proxyRequest) outcome.Reason {
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -46,8 +46,12 @@
 	// RegistrationsAge returns the time since the servers' registrations were last read
 	// from the store. known is false if they were never read.
 	RegistrationsAge func() (age time.Duration, known bool)
-	Logger           *log.Logger
-	Metrics          metrics.Registry
+	// ResponsesDue returns the time at which the entry's shutdown ends, once it takes further
+	// requests only if they are certainly answered by then. Before, it returns the zero time.
+	// If ResponsesDue is nil, all requests are taken.
+	ResponsesDue func() time.Time
+	Logger       *log.Logger
+	Metrics      metrics.Registry
 
 	// inFlight counts the requests being served.
 	inFlight atomic.Int64
--- a/entry/gateway/refusal.go
+++ b/entry/gateway/refusal.go
@@ -29,7 +29,8 @@
 	// its configuration.
 	startupRetryAfter = 500 * time.Millisecond
 	// shortRetryAfter is the retryAfter for requests that servers rejected in spite of
-	// free slots, or whose servers are gone. A retry may succeed at once.
+	// free slots, whose servers are gone, or that another entry can serve. A retry may
+	// succeed at once.
 	shortRetryAfter = 20 * time.Millisecond
 )
 
@@ -71,11 +72,11 @@
 	return bestCandidate == nil || bestCandidate.Server.ID != "" && bestCandidate.Congestion < 1
 }
 
-// isTransient reports whether the cause of a failed attempt is unlikely to affect a
-// retry on another server.
+// isTransient reports whether the cause of a failure is unlikely to affect a retry on another
+// server or through another entry.
 func isTransient(reason outcome.Reason) bool {
 	switch reason {
-	case outcome.ReasonShed, outcome.ReasonServerReplaced, outcome.ReasonConnectFailed:
+	case outcome.ReasonShed, outcome.ReasonServerReplaced, outcome.ReasonConnectFailed, outcome.ReasonStopping:
 		return true
 	}
 	return false
--- a/entry/platform_node.go
+++ b/entry/platform_node.go
@@ -56,6 +56,8 @@
 	// shuttingDown is set when a graceful shutdown begins: look-ups then no longer name
 	// the entry, and each connection is closed after its answer.
 	shuttingDown atomic.Bool
+	// responsesDue is when a graceful shutdown ends. It is nil until the end of lameDuckTime.
+	responsesDue atomic.Pointer[time.Time]
 }
 
 const (
@@ -161,8 +163,9 @@
 		RegistrationsAge: func() (age time.Duration, known bool) {
 			return n.registry.TableAge(platform.ServerTable)
 		},
-		Logger:  logger,
-		Metrics: n.metrics,
+		ResponsesDue: n.shutdownEnd,
+		Logger:       logger,
+		Metrics:      n.metrics,
 	}
 	n.limiter = &gateway.ConnLimiter{
 		Configuration: n.registry.Configuration,
@@ -340,11 +343,14 @@
 }
 
 const (
-	// lameDuckTime is how long the entry accepts new requests after SIGTERM. The time to
-	// live of a look-up's answer is at most maxLookupTTL. Even callers that use an answer
-	// for three times as long have moved to other entries by then, and enough of the grace
-	// period remains for requests in flight.
-	lameDuckTime = 3 * time.Second
+	// lameDuckTime is how long after SIGTERM the entry serves all new requests. Later, it
+	// serves those that are certainly answered before its end, and refuses the others. The
+	// time to live of a look-up's answer is at most maxLookupTTL; most callers that use an
+	// answer for three times as long have moved to other entries by then. The platform
+	// accepts that the end of the grace period cuts off requests that were sent up to three
+	// seconds after SIGTERM. The rest of that time is for the delivery of the signal and of
+	// requests.
+	lameDuckTime = 2800 * time.Millisecond
 	// exitMargin is how long before SIGKILL, at the end of the grace period, the process
 	// stops waiting for requests in flight, since its exit takes a while on a slow VM.
 	// The platform expects no answers in the last sixth of the grace period.
@@ -419,17 +425,20 @@
 }
 
 // shutdown keeps accepting requests for lameDuckTime, or half of the grace period if that
-// is shorter, while callers move to other entries. It then stops reading requests, closes
+// is shorter, while callers move to other entries. From then on, requests that may not be
+// answered before the end of the shutdown are refused. It then stops reading requests, closes
 // the listeners and waits until the requests that were read are answered, or the grace
 // period, less exitMargin, is over. servers are shut down in order, that for callers first:
 // until its end, the entry answers look-ups, with the addresses of the others.
 func (n *platformNode) shutdown(grace time.Duration, servers []*http.Server) {
 	n.logger.Info().Str("event", "stopping").Int64("in-flight", n.gateway.InFlight()).Int64("grace-ms", grace.Milliseconds()).Msg("")
-	ctx, cancel := context.WithTimeout(context.Background(), grace-exitMargin)
+	end := time.Now().Add(grace - exitMargin)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	n.shuttingDown.Store(true)
 	n.tracker.Announce()
 	time.Sleep(min(lameDuckTime, grace/2))
+	n.responsesDue.Store(&end)
 	if err := n.pipeline.Drain(ctx); err != nil {
 		n.logger.Warn().Str("event", "drain-incomplete").Int("outstanding", n.pipeline.Outstanding()).Err(err).Msg("")
 	}
@@ -440,6 +449,15 @@
 	}
 }
 
+// shutdownEnd returns when a shutdown ends, once lameDuckTime is over, and before the zero
+// time.
+func (n *platformNode) shutdownEnd() time.Time {
+	if due := n.responsesDue.Load(); due != nil {
+		return *due
+	}
+	return time.Time{}
+}
+
 const (
 	// maxListeners is the maximum number of TCP listeners of a platformNode.
 	maxListeners = 5
