entry/pipeline: drain although the http.Server has closed the listener

Cause: Drain sets a deadline for Accept and then closes the listener. At the deadline, Serve of the http.Server returns and closes it as well. Where that was first, the second close failed, and Drain returned its error before it had stopped reading requests ("drain-incomplete"). Change: a listener that is closed already is no error, and Drain goes on after any error of the listener and returns it at the end. Evidence: the pipe listener of the tests now has a deadline and refuses a second close, as a *net.TCPListener does. TestDrainAnswersWhatWasRead and TestDrainWithListenerThatIsClosedAlready then fail without the change ("use of closed network connection") and pass with it.

--- a/entry/pipeline/harness_test.go
+++ b/entry/pipeline/harness_test.go
@@ -10,6 +10,7 @@
 	stdlog "log"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -51,27 +52,57 @@
 	logOutput  bytes.Buffer
 }
 
-// pipeListener is a net.Listener whose Accept returns the connections sent to conns.
+// pipeListener is a net.Listener whose Accept returns the connections sent to conns. Like that of
+// a *net.TCPListener, its Accept has a deadline, and its Close fails if it is closed already.
 type pipeListener struct {
 	conns chan net.Conn
 	done  chan struct{}
 	once  sync.Once
+	// expired is closed at the deadline.
+	expired    chan struct{}
+	expireOnce sync.Once
+}
+
+// newPipeListener returns an open pipeListener without a deadline.
+func newPipeListener() *pipeListener {
+	return &pipeListener{
+		conns:   make(chan net.Conn, 4),
+		done:    make(chan struct{}),
+		expired: make(chan struct{}),
+	}
 }
 
 func (p *pipeListener) Accept() (net.Conn, error) {
 	select {
 	case conn := <-p.conns:
 		return conn, nil
+	case <-p.expired:
+		return nil, os.ErrDeadlineExceeded
 	case <-p.done:
 		return nil, net.ErrClosed
 	}
 }
 
-func (p *pipeListener) Close() error {
-	p.once.Do(func() { close(p.done) })
+// SetDeadline sets the deadline of Accept. It can't be moved later.
+func (p *pipeListener) SetDeadline(deadline time.Time) error {
+	select {
+	case <-p.done:
+		return net.ErrClosed
+	default:
+	}
+	time.AfterFunc(time.Until(deadline), func() { p.expireOnce.Do(func() { close(p.expired) }) })
 	return nil
 }
 
+func (p *pipeListener) Close() error {
+	err := net.ErrClosed
+	p.once.Do(func() {
+		close(p.done)
+		err = nil
+	})
+	return err
+}
+
 func (p *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
 
 // withHarness runs a test in a synctest bubble.
@@ -89,10 +120,7 @@
 // has the connection without a pipeline.Handler.
 func newHarness(pipelined bool) *harness {
 	h := &harness{
-		listener: &pipeListener{
-			conns: make(chan net.Conn, 4),
-			done:  make(chan struct{}),
-		},
+		listener: newPipeListener(),
 		began:    time.Now(),
 		starts:   make(map[string]time.Duration),
 		ends:     make(map[string]time.Duration),
--- a/entry/pipeline/pipeline.go
+++ b/entry/pipeline/pipeline.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/phuslu/log"
 )
 
@@ -157,21 +158,9 @@
 // connections, and returns when all requests that were read are answered, or with ctx.
 // After it, http.Server.Shutdown closes idle connections only, whose requests, if any
 // arrive, have not been read. Without it, Shutdown drops a request that was just read.
+// Drain does all of this even if the listener can't be closed, and then returns that error.
 func (h *Handler) Drain(ctx context.Context) error {
-	h.mu.Lock()
-	listener := h.listener
-	h.mu.Unlock()
-	if deadliner, ok := listener.(interface{ SetDeadline(time.Time) error }); ok {
-		if err := deadliner.SetDeadline(time.Now().Add(acceptTime)); err != nil {
-			return err
-		}
-		sleep(ctx, acceptTime)
-	}
-	if listener != nil {
-		if err := listener.Close(); err != nil {
-			return err
-		}
-	}
+	listenerErr := h.closeListener(ctx)
 	firstRequests, cancel := context.WithTimeout(ctx, firstRequestTime)
 	defer cancel()
 	for h.awaitsFirstRequest() && firstRequests.Err() == nil {
@@ -183,7 +172,32 @@
 	for h.Outstanding() > 0 && ctx.Err() == nil {
 		sleep(ctx, drainPollInterval)
 	}
-	return ctx.Err()
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	return listenerErr
+}
+
+// closeListener closes the listener once acceptTime has passed. The http.Server closes it as
+// well when the deadline ends Accept, whichever is first.
+func (h *Handler) closeListener(ctx context.Context) error {
+	h.mu.Lock()
+	listener := h.listener
+	h.mu.Unlock()
+	if listener == nil {
+		return nil
+	}
+	var deadlineErr error
+	if deadliner, ok := listener.(interface{ SetDeadline(time.Time) error }); ok {
+		deadlineErr = deadliner.SetDeadline(time.Now().Add(acceptTime))
+		sleep(ctx, acceptTime)
+	}
+	for _, err := range []error{deadlineErr, listener.Close()} {
+		if err != nil && !errors.Is(err, net.ErrClosed) {
+			return errors.Wrap(err, "close the listener")
+		}
+	}
+	return nil
 }
 
 // sleep waits for a duration or until ctx is done, whichever is first.
--- a/entry/pipeline/pipeline_test.go
+++ b/entry/pipeline/pipeline_test.go
@@ -357,3 +357,35 @@
 		assert.Assert(t, !started)
 	})
 }
+
+// TestDrainWithListenerThatIsClosedAlready checks that Drain reads no further requests and waits
+// for those that were read although the http.Server has closed the listener before: at the
+// deadline that Drain sets for the last connections, or because it failed.
+func TestDrainWithListenerThatIsClosedAlready(t *testing.T) {
+	for _, failed := range []bool{false, true} {
+		withHarness(t, func(t *testing.T, h *harness) {
+			idle := h.dial()
+			defer idle.Close()
+			_, err := io.WriteString(idle, get("/safe/10/idle"))
+			assert.NilError(t, err)
+			_, err = idle.Read(make([]byte, 4096))
+			assert.NilError(t, err)
+			h.send(get("/safe/2000/a"))
+			synctest.Wait()
+			if failed {
+				assert.NilError(t, h.listener.Close())
+				synctest.Wait()
+			}
+			h.setShuttingDown(true)
+			drained := make(chan error, 1)
+			h.group.Go(func() { drained <- h.drain(5 * time.Second) })
+			time.Sleep(time.Second)
+			_, _ = io.WriteString(idle, get("/effect/10/late"))
+			h.mustReceive(t, "/safe/2000/a")
+			assert.NilError(t, <-drained)
+			assert.Equal(t, time.Since(h.began).Round(time.Second), 2*time.Second)
+			_, started := h.startOf("/effect/10/late")
+			assert.Assert(t, !started)
+		})
+	}
+}
