entry/pipeline: refuse requests behind a body in chunks once an entry drains

Cause: the ends of requests aren't known on such a connection, so the conn can't stop between two of them. conn.begin asks whether the request is admitted, but used the answer only for the count of outstanding requests; the request was served, and Drain did not wait for it. Change: the handler answers such a request with Refuse: 503, not run, and the connection is closed.

--- a/entry/gateway/refusal.go
+++ b/entry/gateway/refusal.go
@@ -43,6 +43,17 @@
 	}
 }
 
+// RefuseStopping refuses a request, without having read its body, because the entry is shutting
+// down. It is an http.HandlerFunc.
+func (g *Gateway) RefuseStopping(w http.ResponseWriter, incoming *http.Request) {
+	req := &proxyRequest{
+		incoming: incoming,
+		id:       incoming.Header.Get(g.HeaderNames.RequestID),
+		arrival:  time.Now(),
+	}
+	g.refuse(w, req, *notRunRefusal(outcome.ReasonStopping, shortRetryAfter))
+}
+
 // refusalFor returns the refusal for a request without a usable response from a server.
 func refusalFor(req *proxyRequest) refusal {
 	if !req.mayHaveRun {
--- a/entry/pipeline/conn.go
+++ b/entry/pipeline/conn.go
@@ -312,8 +312,9 @@
 }
 
 // begin records that the handler of the current request begins. It returns the early start
-// of the request, or nil.
-func (c *conn) begin(request *http.Request) *exchange {
+// of the request, or nil. admitted is false if the request began after the last one that is
+// to be read.
+func (c *conn) begin(request *http.Request) (early *exchange, admitted bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase == phaseHeaderRead {
@@ -321,15 +322,17 @@
 	}
 	c.serving = true
 	c.handlerDone = make(chan struct{})
+	admitted = true
 	if !c.counted && !c.closed {
 		// The request began while the ends of requests weren't known.
-		c.counted = c.handler.admit(c)
+		admitted = c.handler.admit(c)
+		c.counted = admitted
 	}
 	if c.current == nil {
 		c.barrier = c.phase == phaseOpaque || !allowsEarlySuccessor(request) || !c.handler.Idempotent(request)
 	}
 	c.startEarly()
-	return c.current
+	return c.current, admitted
 }
 
 // end records that the handler of the current request has returned.
--- a/entry/pipeline/harness_test.go
+++ b/entry/pipeline/harness_test.go
@@ -127,7 +127,10 @@
 		canceled: make(map[string]bool),
 	}
 	h.handler = &pipeline.Handler{
-		Next:            http.HandlerFunc(h.serve),
+		Next: http.HandlerFunc(h.serve),
+		Refuse: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			http.Error(w, "refused", http.StatusServiceUnavailable)
+		}),
 		Idempotent:      func(request *http.Request) bool { return strings.HasPrefix(request.URL.Path, "/safe/") },
 		ShuttingDown:    func() bool { h.mu.Lock(); defer h.mu.Unlock(); return h.shuttingDown },
 		RequestIDHeader: "X-Id",
--- a/entry/pipeline/pipeline.go
+++ b/entry/pipeline/pipeline.go
@@ -22,6 +22,9 @@
 type Handler struct {
 	// Next serves each request.
 	Next http.Handler
+	// Refuse answers, in place of Next, a request that the http.Server has read although no
+	// further ones are to be read: on a connection on which the ends of requests aren't known.
+	Refuse http.Handler
 	// Idempotent reports whether a request may run at the same time as the idempotent
 	// requests before it on the same connection, and may be dropped and sent again.
 	Idempotent func(request *http.Request) bool
@@ -95,13 +98,16 @@
 		h.Next.ServeHTTP(writer, request)
 		return
 	}
-	early := c.begin(request)
+	early, admitted := c.begin(request)
 	defer c.end()
-	if early != nil {
+	switch {
+	case early != nil:
 		early.deliver(writer)
-		return
+	case !admitted:
+		h.Refuse.ServeHTTP(writer, request)
+	default:
+		h.Next.ServeHTTP(writer, request)
 	}
-	h.Next.ServeHTTP(writer, request)
 }
 
 // Started returns the number of requests that were ever started early.
@@ -155,7 +161,8 @@
 )
 
 // Drain stops accepting connections, reads no requests but the first ones of new
-// connections, and returns when all requests that were read are answered, or with ctx.
+// connections, and returns when all requests that were read are answered, or with ctx. From
+// then on, Refuse answers the requests on connections that can't stop reading between two.
 // After it, http.Server.Shutdown closes idle connections only, whose requests, if any
 // arrive, have not been read. Without it, Shutdown drops a request that was just read.
 // Drain does all of this even if the listener can't be closed, and then returns that error.
--- a/entry/platform_node.go
+++ b/entry/platform_node.go
@@ -173,6 +173,7 @@
 	}
 	n.pipeline = &pipeline.Handler{
 		Next:            n.gateway,
+		Refuse:          http.HandlerFunc(n.gateway.RefuseStopping),
 		Idempotent:      n.idempotent,
 		ShuttingDown:    n.shuttingDown.Load,
 		HeaderRead:      gateway.StopHeaderTimeout,
--- a/standin/gate/stop_test.go
+++ b/standin/gate/stop_test.go
@@ -116,6 +116,11 @@
 			name:    "kept connections",
 			connect: -2 * time.Second,
 		},
+		{
+			name:    "kept connections with bodies in chunks",
+			connect: -2 * time.Second,
+			chunked: true,
+		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			d := startDeployment(t, 9)
