entry/placement: servers back from an evacuation count as cold until told

Cause: the servers become cold shortly before the end of the evacuation and write so with their next heartbeat, which waits for the store. In between, entries sent without the limit for cold servers. A sooner read of the table would not help: the rows weren't written yet. Change: servers of a domain whose evacuation has ended count as cold until the store has confirmed the server table as of two seconds after the entry learned of the end, the time within which a registration is back after an outage. The registry reports these confirmations.

--- a/entry/placement/cold.go
+++ b/entry/placement/cold.go
@@ -4,10 +4,37 @@
 	"time"
 )
 
+// registrationSettleTime is how long after the end of an evacuation the registrations show which
+// servers of the failure domain have become cold before it. A server writes its registration about
+// every heartbeat, and within two seconds of the return of the store, which may have been away
+// until just before the end.
+const registrationSettleTime = 2 * time.Second
+
+// cold reports whether a server is cold, or may be without this entry knowing.
+func (f *Fleet) cold(server *serverRecord, now time.Time) bool {
+	if now.Before(server.coldUntil) {
+		return true
+	}
+	_, returning := f.returning[server.FailureDomain]
+	return returning
+}
+
+// ConfirmRegistrations records that the registrations passed to Update so far are those at a
+// time.
+func (f *Fleet) ConfirmRegistrations(at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for domain, settled := range f.returning {
+		if !at.Before(settled) {
+			delete(f.returning, domain)
+		}
+	}
+}
+
 // withinColdRateLimit reports whether the rate limit of cold servers lets this entry
 // send a server a request now. It always does for a server that is not cold.
 func (f *Fleet) withinColdRateLimit(server *serverRecord, now time.Time) bool {
-	if !now.Before(server.coldUntil) {
+	if !f.cold(server, now) {
 		return true
 	}
 	turn, open := f.coldTurn(server, now)
--- a/entry/placement/placement.go
+++ b/entry/placement/placement.go
@@ -42,6 +42,9 @@
 	weights map[slotWeightsKey]cachedSlotWeights
 	// evacuated is the set of evacuated failure domains.
 	evacuated map[string]bool
+	// returning holds the failure domains whose evacuation has ended while it isn't known which
+	// of their servers are cold, with the time from which registrations say so.
+	returning map[string]time.Time
 	// serviceSettings is keyed by the name of the service.
 	serviceSettings map[string]*routing.Service
 	// serviceTimes is keyed by the name of the route.
@@ -141,6 +144,7 @@
 		regions:         make(map[string]bool),
 		weights:         make(map[slotWeightsKey]cachedSlotWeights),
 		evacuated:       make(map[string]bool),
+		returning:       make(map[string]time.Time),
 		serviceSettings: make(map[string]*routing.Service),
 		serviceTimes:    make(map[string]*serviceTimeEstimate),
 		roundTrips:      make(map[string]time.Duration),
@@ -362,7 +366,7 @@
 		Rank:            rank,
 		Load:            f.load(server, now),
 		RegistrationAge: now.Sub(server.registeredAt),
-		Cold:            now.Before(server.coldUntil),
+		Cold:            f.cold(server, now),
 		Slowdown:        server.slowdownNow(now),
 	}
 	if !server.othersLoadAt.IsZero() {
@@ -374,7 +378,7 @@
 // reserve counts a request as in flight at a server. If the server is cold, the
 // request uses up this entry's turn, and if it states a limit, a token.
 func (f *Fleet) reserve(server *serverRecord, now time.Time) {
-	if now.Before(server.coldUntil) {
+	if f.cold(server, now) {
 		server.lastColdTurn, _ = f.coldTurn(server, now)
 	}
 	if server.limit.limited {
--- a/entry/placement/summary.go
+++ b/entry/placement/summary.go
@@ -35,7 +35,7 @@
 		if f.failing(server, now) {
 			sum.Failing++
 		}
-		if now.Before(server.coldUntil) {
+		if f.cold(server, now) {
 			sum.Cold++
 		}
 		if server.Draining {
--- a/entry/placement/update.go
+++ b/entry/placement/update.go
@@ -17,10 +17,20 @@
 	f.serviceSettings = configuration.Services
 }
 
-// SetEvacuated sets the evacuated failure domains, whose servers get no requests.
+// SetEvacuated sets the evacuated failure domains, whose servers get no requests. Servers become
+// cold in an evacuation. Those of a domain that is no longer evacuated count as cold until
+// ConfirmRegistrations is called with a time from which registrations say which of them are.
 func (f *Fleet) SetEvacuated(domains map[string]bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	for domain := range f.evacuated {
+		if !domains[domain] {
+			f.returning[domain] = time.Now().Add(registrationSettleTime)
+		}
+	}
+	for domain := range domains {
+		delete(f.returning, domain)
+	}
 	f.evacuated = maps.Clone(domains)
 }
 
--- a/entry/platform_node.go
+++ b/entry/platform_node.go
@@ -136,15 +136,16 @@
 		ServerPollPause: func() time.Duration {
 			return registrationPollInterval(n.settings.Load().Bounds.DrainTime, n.fleet.LongestRoundTrip())
 		},
-		MaxLag:            settings.Bounds.StableWindow,
-		OnConfiguration:   n.fleet.Configure,
-		OnEvacuations:     n.fleet.SetEvacuated,
-		OnServersUpdated:  n.updateServers,
-		OnServersRemoved:  n.removeServers,
-		OnDoubtfulServers: n.fleet.SetDoubtful,
-		Logger:            logger,
-		SnapshotSources:   n.snapshotSources,
-		FindReader:        n.findReader,
+		MaxLag:             settings.Bounds.StableWindow,
+		OnConfiguration:    n.fleet.Configure,
+		OnEvacuations:      n.fleet.SetEvacuated,
+		OnServersUpdated:   n.updateServers,
+		OnServersRemoved:   n.removeServers,
+		OnDoubtfulServers:  n.fleet.SetDoubtful,
+		OnServersConfirmed: n.fleet.ConfirmRegistrations,
+		Logger:             logger,
+		SnapshotSources:    n.snapshotSources,
+		FindReader:         n.findReader,
 	}
 	n.gateway = &gateway.Gateway{
 		HeaderNames:     platform.HeaderNames,
--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -53,6 +53,10 @@
 	// no rows, with the IDs of all doubtful servers: those that may be gone, because their
 	// registrations are missing after an outage.
 	OnDoubtfulServers func(ids []string)
+	// OnServersConfirmed is called after each successful call for the server table, behind the
+	// callbacks for its rows, with the time at which the store confirmed that there are no
+	// further ones.
+	OnServersConfirmed func(at time.Time)
 	// SnapshotSources returns functions that each fetch a snapshot from another
 	// entry. A starting entry uses them while the store does not answer.
 	SnapshotSources func() []func(context.Context) (Snapshot, error)
@@ -205,6 +209,9 @@
 			r.Logger.Info().Str("event", "store-regained").Str("table", watched.table).Uint64("version", version).Msg("")
 		}
 		r.recordSuccess(watched.table)
+		if watched.table == platform.ServerTable {
+			r.OnServersConfirmed(r.confirmedAt(watched.table))
+		}
 		delay = 0
 		if !relayed {
 			sleep(ctx, r.pollPause(watched))
--- a/entry/registry/registry_test.go
+++ b/entry/registry/registry_test.go
@@ -60,6 +60,8 @@
 	doubtful []string
 	// evacuatedDomains holds the evacuated failure domains.
 	evacuatedDomains []string
+	// confirmedAt is when the store last confirmed the server table, as reported.
+	confirmedAt time.Time
 }
 
 // testRegistry runs a test under a fake clock with a registry and the stand-in for the
@@ -91,13 +93,14 @@
 		Regions: map[string]string{
 			"north-a": "north",
 		},
-		ServerPollPause:   func() time.Duration { return time.Second },
-		MaxLag:            3 * time.Second,
-		OnConfiguration:   func(*routing.Configuration) {},
-		OnEvacuations:     r.setEvacuated,
-		OnServersUpdated:  r.update,
-		OnServersRemoved:  r.remove,
-		OnDoubtfulServers: r.setDoubtful,
+		ServerPollPause:    func() time.Duration { return time.Second },
+		MaxLag:             3 * time.Second,
+		OnConfiguration:    func(*routing.Configuration) {},
+		OnEvacuations:      r.setEvacuated,
+		OnServersUpdated:   r.update,
+		OnServersRemoved:   r.remove,
+		OnDoubtfulServers:  r.setDoubtful,
+		OnServersConfirmed: r.confirm,
 		SnapshotSources: func() []func(context.Context) (registry.Snapshot, error) {
 			return nil
 		},
@@ -155,6 +158,19 @@
 	r.doubtful = slices.Clone(ids)
 }
 
+func (r *recordingRegistry) confirm(at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.confirmedAt = at
+}
+
+// lastConfirmed returns when the store last confirmed the server table.
+func (r *recordingRegistry) lastConfirmed() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.confirmedAt
+}
+
 // evacuated returns the failure domains that were last set as evacuated.
 func (r *recordingRegistry) evacuated() []string {
 	r.mu.Lock()
@@ -411,3 +427,25 @@
 		assert.Equal(t, asked, 0)
 	})
 }
+
+// TestServersAreConfirmedWhileTheStoreAnswers checks that the time up to which the registrations
+// are known advances with each call that the store answers, also without changes, and not during
+// an outage.
+func TestServersAreConfirmedWhileTheStoreAnswers(t *testing.T) {
+	testRegistry(t, func(t *testing.T, r *recordingRegistry) {
+		r.run()
+		for range 5 {
+			time.Sleep(3 * time.Second)
+			assert.Assert(t, time.Since(r.lastConfirmed()) <= 3*time.Second, "confirmed %s ago", time.Since(r.lastConfirmed()))
+		}
+		r.store.SetFault(store.Fault{
+			Outage: store.OutageRefuse,
+		})
+		outage := time.Now()
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, !r.lastConfirmed().After(outage), "confirmed %s after the beginning of the outage", r.lastConfirmed().Sub(outage))
+		r.store.SetFault(store.Fault{})
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, time.Since(r.lastConfirmed()) <= 3*time.Second, "confirmed %s ago", time.Since(r.lastConfirmed()))
+	})
+}
