entry/quarantine: tell the peers of a success that clears a suspect

What callers saw: a request that had run well since is refused for ten minutes after one more server fails with it. Cause: entries tell each other of a suspect for five seconds after its last failure. A success later than that cleared the suspect only at the entry that saw it; the others went on counting the old failures, and with the next one quarantined the request everywhere. Change: a suspect is also told for five seconds after a success has cleared it, with the rank of a first failure. Failures that no longer count are left out. Evidence: TestSuccessClearsSuspectAtAllEntries (two failures, a success elsewhere 30 s later, one failure) failed before: the request was quarantined; it passes now.

--- a/entry/quarantine/heartbeat.go
+++ b/entry/quarantine/heartbeat.go
@@ -35,25 +35,26 @@
 // expired ones. Times are sent as ages, because the clocks of the entries may differ.
 func (l *List) Suspects() []*teaselv1.Suspect { return l.RecentSuspects(FailureLifetime) }
 
-// RecentSuspects is like Suspects, but returns only suspects whose last failure was
-// at most maxAge ago. Both return first those for which most servers failed, and remove
-// the expired suspects that they come across.
+// RecentSuspects is like Suspects, but returns only suspects whose last failure, or the success
+// that cleared them, was at most maxAge ago. Both return first those for which most servers
+// failed, and remove the expired suspects that they come across.
 func (l *List) RecentSuspects(maxAge time.Duration) []*teaselv1.Suspect {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
 	var selected []Digest
 	for digest, s := range l.suspects {
-		switch age := now.Sub(s.lastFailure()); {
-		case age > FailureLifetime:
+		switch {
+		case now.Sub(s.lastFailure()) > FailureLifetime:
 			delete(l.suspects, digest)
-		case age <= maxAge:
+		case now.Sub(s.lastChange()) <= maxAge:
 			selected = append(selected, digest)
 		}
 	}
-	// The order of the iteration, which is random, stays between equal counts.
+	// The order of the iteration, which is random, stays between equal counts. That a suspect
+	// is cleared is as urgent as a first failure.
 	slices.SortStableFunc(selected, func(a, b Digest) int {
-		return l.weight(l.suspects[b]) - l.weight(l.suspects[a])
+		return max(1, l.weight(l.suspects[b])) - max(1, l.weight(l.suspects[a]))
 	})
 	var messages []*teaselv1.Suspect
 	for _, digest := range selected[:min(len(selected), maxSuspectsPerMessage)] {
@@ -63,7 +64,7 @@
 }
 
 // encode returns the message that describes a suspect to a peer, with its latest failures
-// up to a limit. More are not needed to quarantine it.
+// up to a limit, of those that still count. More are not needed to quarantine it.
 func (s *suspect) encode(digest Digest, now time.Time, limit int) *teaselv1.Suspect {
 	message := &teaselv1.Suspect{
 		Digest:  digest[:],
@@ -73,6 +74,9 @@
 		return s.failures[b].Compare(s.failures[a])
 	})
 	for _, server := range latest[:min(len(latest), limit)] {
+		if !s.failures[server].After(s.lastSuccess) {
+			break
+		}
 		message.Breaks = append(message.Breaks, &teaselv1.SuspectBreak{
 			Server: server,
 			AgeMs:  ageMilliseconds(now.Sub(s.failures[server])),
@@ -212,7 +216,7 @@
 		s := l.suspects[digest]
 		success := now.Add(-time.Duration(message.GetFinishedAgeMs()) * time.Millisecond)
 		if s != nil && message.GetFinished() && isNewEvent(success, s.lastSuccess) {
-			s.lastSuccess = success
+			s.setSuccess(success)
 		}
 	}
 }
--- a/entry/quarantine/quarantine.go
+++ b/entry/quarantine/quarantine.go
@@ -77,8 +77,10 @@
 	// quarantinedAt is the time of the failure by which the request was last quarantined,
 	// zero if it never was.
 	quarantinedAt time.Time
-	// lastSuccess is when a run of the request last succeeded.
+	// lastSuccess is when a run of the request last succeeded. clearedAt is when a success was
+	// last recorded here behind failures, which then no longer counted.
 	lastSuccess time.Time
+	clearedAt   time.Time
 }
 
 // activeSuspect is the suspect that this entry currently runs on a backend server.
@@ -258,6 +260,25 @@
 	return s.quarantinedAt.After(s.lastSuccess) && time.Since(s.quarantinedAt) < FailureLifetime
 }
 
+// lastChange returns the time of the last failure, or of the success that cleared the suspect if
+// that is later.
+func (s *suspect) lastChange() time.Time {
+	last := s.lastFailure()
+	if s.clearedAt.After(last) {
+		return s.clearedAt
+	}
+	return last
+}
+
+// setSuccess records that a run of the request succeeded at a time.
+func (s *suspect) setSuccess(at time.Time) {
+	counted := s.quarantinedAt.After(s.lastSuccess) || s.recentFailures(time.Now()) > 0
+	s.lastSuccess = at
+	if counted && s.recentFailures(time.Now()) == 0 {
+		s.clearedAt = time.Now()
+	}
+}
+
 // lastFailure returns the time of the last failure of any backend server.
 func (s *suspect) lastFailure() time.Time {
 	last := s.quarantinedAt
@@ -287,7 +308,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if s := l.suspects[digest]; s != nil {
-		s.lastSuccess = time.Now()
+		s.setSuccess(time.Now())
 	}
 }
 
--- a/entry/suspects_test.go
+++ b/entry/suspects_test.go
@@ -126,3 +126,23 @@
 		s.assertQuarantined(t, crashingDigest)
 	})
 }
+
+// TestSuccessClearsSuspectAtAllEntries guards against the refusal of a request that ran well
+// since servers failed with it: the success, long after the failures and seen by another entry,
+// was not told to those that counted them.
+func TestSuccessClearsSuspectAtAllEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSuspectSite(t, 7, 0)
+		for index := range 2 {
+			s.nodes[index].suspects.RecordFailure(crashingDigest, "desk", fmt.Sprintf("i-%d@1", index))
+		}
+		time.Sleep(30 * time.Second)
+		s.nodes[2].suspects.RecordSuccess(crashingDigest)
+		time.Sleep(30 * time.Second)
+		s.nodes[3].suspects.RecordFailure(crashingDigest, "desk", "i-3@1")
+		time.Sleep(undisturbedWindow)
+		for index, n := range s.nodes {
+			assert.Assert(t, !n.suspects.Quarantined(crashingDigest), "entry %d refuses the request", index)
+		}
+	})
+}
