entry: suspects outlive restarts of the entries

Cause: entries tell each other of a suspect for five seconds after its last failure, and what they keep beyond their process are quarantined requests only. An entry that started later knew nothing of two crashes, though its peers did. Change: a message says for five seconds that its sender has just started, and the others tell it all suspects. The suspects that one more failure would quarantine are kept in the rows of the entries that saw a failure, as quarantines are. A success takes them out again. Rows are written at most once a second.

--- a/entry/platform_node.go
+++ b/entry/platform_node.go
@@ -53,6 +53,11 @@
 	limiter *gateway.ConnLimiter
 	// suspects holds the requests that may crash backend servers.
 	suspects quarantine.List
+	// startedAt is when newPlatformNode was called.
+	startedAt time.Time
+	// startingPeerHeard is when a message of an entry that had just started last arrived, nil if
+	// none did.
+	startingPeerHeard atomic.Pointer[time.Time]
 	// shuttingDown is set when a graceful shutdown begins: look-ups then no longer name
 	// the entry, and each connection is closed after its answer.
 	shuttingDown atomic.Bool
@@ -87,7 +92,8 @@
 	// until the request is quarantined. The platform limits the retries of a
 	// request after the request has made three servers fail.
 	quarantineFailureLimit = 3
-	// suspectGossipTime is how long after its last failure a suspect is sent to peers.
+	// suspectGossipTime is how long after its last failure a suspect is sent to peers, how long
+	// an entry says that it has just started, and how long the others then send it all suspects.
 	// It spans several datagrams, as more than half of them may be lost.
 	suspectGossipTime = 5 * time.Second
 )
@@ -99,6 +105,7 @@
 		logger:          logger,
 		droppedLogLines: droppedLogLines,
 		metrics:         metrics.NewRegistry(),
+		startedAt:       time.Now(),
 	}
 	n.readerClient = newReaderClient()
 	n.settings.Store(&settings)
@@ -109,6 +116,7 @@
 		Store:  n.newStore(),
 		Logger: logger,
 	}
+	n.suspects.OnCleared = n.tracker.UpdateRow
 	n.fleet = placement.New(settings.Region, n.entryPosition,
 		placement.WithFailureDomain(settings.FailureDomain),
 		placement.WithEntries(settings.Name, n.servingEntries),
@@ -232,10 +240,10 @@
 }
 
 // handleFailure logs that a backend server failed while it ran a request, and whether the
-// request is quarantined from now on. An entry that saw a failure then stores the
-// quarantine.
+// request is quarantined from now on. An entry that saw a failure stores the request once it
+// is quarantined or the next failure would quarantine it.
 func (n *platformNode) handleFailure(failure quarantine.Failure) {
-	if failure.Quarantined && failure.SeenHere {
+	if failure.SeenHere && (failure.Quarantined || failure.Count >= quarantineFailureLimit-1) {
 		n.tracker.UpdateRow()
 	}
 	n.logger.Warn().Str("event", "suspect").Str("digest", failure.Digest.String()).Str("service", failure.Service).
@@ -245,10 +253,15 @@
 
 // fillPresence adds to a message to the other entries this entry's requests in flight at
 // each backend server, the servers that fail its requests, the recent suspects and the
-// quarantined requests.
+// quarantined requests. While another entry has just started, it adds all suspects.
 func (n *platformNode) fillPresence(message *teaselv1.Presence) {
 	n.fleet.FillPresence(message)
-	message.Suspects = n.suspects.RecentSuspects(suspectGossipTime)
+	message.Starting = time.Since(n.startedAt) < suspectGossipTime
+	maxAge := suspectGossipTime
+	if heard := n.startingPeerHeard.Load(); heard != nil && time.Since(*heard) < suspectGossipTime {
+		maxAge = quarantine.FailureLifetime
+	}
+	message.Suspects = n.suspects.RecentSuspects(maxAge)
 	message.Quarantines = n.suspects.Quarantines()
 }
 
@@ -256,21 +269,28 @@
 // message, and merges the suspects and quarantined requests in the message into this
 // entry's list.
 func (n *platformNode) applyPresence(message *teaselv1.Presence) {
+	if message.GetStarting() {
+		now := time.Now()
+		n.startingPeerHeard.Store(&now)
+	}
 	n.fleet.ApplyPresence(message)
 	n.suspects.Merge(message.GetSuspects())
 	n.suspects.MergeQuarantines(message.GetQuarantines())
 }
 
-// fillRow adds to this entry's row the quarantined requests for which it saw a failure.
+// fillRow adds to this entry's row the requests for which it saw a failure, if they are
+// quarantined or the next failure would quarantine them.
 func (n *platformNode) fillRow(row *teaselv1.Presence) {
+	row.Suspects = n.suspects.StoredSuspects()
 	row.Quarantines = n.suspects.StoredQuarantines()
 	row.WrittenUnixMs = time.Now().UnixMilli()
 }
 
-// applyRow merges the quarantined requests in an entry's row into this entry's list.
+// applyRow merges the suspects and quarantined requests in an entry's row into this entry's
+// list.
 func (n *platformNode) applyRow(row *teaselv1.Presence) {
 	own := row.GetName() == n.settings.Load().Name
-	n.suspects.MergeStored(row.GetQuarantines(), time.Since(time.UnixMilli(row.GetWrittenUnixMs())), own)
+	n.suspects.MergeStored(row.GetSuspects(), row.GetQuarantines(), time.Since(time.UnixMilli(row.GetWrittenUnixMs())), own)
 }
 
 // idempotent reports whether a request's route is one of requests that may run more than
--- a/entry/presence/presence.go
+++ b/entry/presence/presence.go
@@ -135,6 +135,9 @@
 	minReadInterval    = 1500 * time.Millisecond
 	maxReadInterval    = time.Minute
 	readIntervalGrowth = 4
+	// minWriteInterval is the shortest time between two writes of this entry's row after
+	// changes. Many servers may fail at the same time, each with other requests.
+	minWriteInterval = time.Second
 	// storeTimeout is the timeout of a call to the store.
 	storeTimeout = 1500 * time.Millisecond
 	// maxDatagramBytes is the largest size of a datagram's payload. With its headers it
--- a/entry/presence/rows.go
+++ b/entry/presence/rows.go
@@ -12,12 +12,12 @@
 )
 
 // syncRows writes this entry's row, retrying until that succeeds, and again after each
-// signal on changed. Once it is written, syncRows reads the rows of all entries at
+// signal on changed, after a pause of minWriteInterval. Once it is written, syncRows reads the rows of all entries at
 // intervals, until ctx is done. It logs when the store becomes unreachable and reachable
 // again.
 func (t *Tracker) syncRows(ctx context.Context, changed <-chan struct{}) {
 	created, stale, failing := false, false, false
-	var nextRead time.Time
+	var nextRead, lastWrite time.Time
 	readInterval := minReadInterval
 	for ctx.Err() == nil {
 		err := error(nil)
@@ -28,7 +28,9 @@
 		case stale:
 			err = t.writeRow(ctx)
 		}
-		stale = stale && err != nil
+		if stale && err == nil {
+			stale, lastWrite = false, time.Now()
+		}
 		if err == nil && !time.Now().Before(nextRead) {
 			if err = t.readRows(ctx); err == nil {
 				readInterval = min(maxReadInterval, readIntervalGrowth*readInterval)
@@ -54,6 +56,7 @@
 		case <-ctx.Done():
 		case <-changed:
 			stale = true
+			sleep(ctx, time.Until(lastWrite.Add(minWriteInterval)))
 		case <-timer.C:
 		}
 		timer.Stop()
--- a/entry/quarantine/heartbeat.go
+++ b/entry/quarantine/heartbeat.go
@@ -92,9 +92,10 @@
 const (
 	// maxQuarantinesPerMessage is the maximum number of quarantined requests in a message.
 	maxQuarantinesPerMessage = 8
-	// maxStoredQuarantines is the maximum number of quarantined requests that an entry
-	// stores.
+	// maxStoredQuarantines and maxStoredSuspects are the maximum numbers of quarantined
+	// requests and of suspects that an entry stores.
 	maxStoredQuarantines = 256
+	maxStoredSuspects    = 64
 )
 
 // Quarantines returns up to maxQuarantinesPerMessage quarantined requests to send to a
@@ -111,6 +112,25 @@
 	return l.encodeQuarantines(maxStoredQuarantines, func(s *suspect) bool { return s.seenHere })
 }
 
+// StoredSuspects returns the suspects for which this entry recorded any failure and that the
+// failure of one more server would quarantine, to be kept where they outlive the process.
+func (l *List) StoredSuspects() []*teaselv1.Suspect {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	var messages []*teaselv1.Suspect
+	for digest, s := range l.suspects {
+		if !s.seenHere || l.quarantined(s) || s.recentFailures(now) < l.failureLimit()-1 {
+			continue
+		}
+		messages = append(messages, s.encode(digest, now, l.failureLimit()))
+		if len(messages) == maxStoredSuspects {
+			break
+		}
+	}
+	return messages
+}
+
 // encodeQuarantines returns up to limit of the quarantined requests for which include
 // returns true.
 func (l *List) encodeQuarantines(limit int, include func(*suspect) bool) []*teaselv1.Quarantine {
@@ -133,30 +153,40 @@
 	return messages
 }
 
-// MergeStored adds quarantined requests that were stored some time ago, by this entry's
-// previous process if own is true and by another entry otherwise. The time is measured with
-// clocks that may differ; a negative one counts as zero. StoredQuarantines returns those
-// of the own entry again.
-func (l *List) MergeStored(messages []*teaselv1.Quarantine, storedAgo time.Duration, own bool) {
-	current := make([]*teaselv1.Quarantine, 0, len(messages))
-	for _, message := range messages {
-		age := time.Duration(message.GetAgeMs())*time.Millisecond + max(0, storedAgo)
-		if age < FailureLifetime {
-			current = append(current, &teaselv1.Quarantine{
-				Digest: message.GetDigest(),
-				AgeMs:  ageMilliseconds(age),
-			})
+// MergeStored adds suspects and quarantined requests that were stored some time ago, by this
+// entry's previous process if own is true and by another entry otherwise. The time is measured
+// with clocks that may differ; a negative one counts as zero. StoredSuspects and
+// StoredQuarantines return those of the own entry again.
+func (l *List) MergeStored(suspects []*teaselv1.Suspect, quarantines []*teaselv1.Quarantine, storedAgo time.Duration, own bool) {
+	storedAgo = max(0, storedAgo)
+	addAge := func(ageMS uint32) uint32 {
+		return ageMilliseconds(min(time.Duration(ageMS)*time.Millisecond+storedAgo, FailureLifetime))
+	}
+	digests := make([][]byte, 0, len(suspects)+len(quarantines))
+	for _, message := range suspects {
+		for _, failure := range message.GetBreaks() {
+			failure.AgeMs = addAge(failure.GetAgeMs())
 		}
+		message.FinishedAgeMs = addAge(message.GetFinishedAgeMs())
+		digests = append(digests, message.GetDigest())
+	}
+	for _, message := range quarantines {
+		message.AgeMs = addAge(message.GetAgeMs())
+		digests = append(digests, message.GetDigest())
 	}
-	l.MergeQuarantines(current)
+	l.Merge(suspects)
+	l.MergeQuarantines(quarantines)
 	if !own {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, message := range current {
-		if len(message.GetDigest()) == len(Digest{}) {
-			l.addSuspect(Digest(message.GetDigest())).seenHere = true
+	for _, digest := range digests {
+		if len(digest) != len(Digest{}) {
+			continue
+		}
+		if s := l.suspects[Digest(digest)]; s != nil {
+			s.seenHere = true
 		}
 	}
 }
@@ -216,7 +246,7 @@
 		s := l.suspects[digest]
 		success := now.Add(-time.Duration(message.GetFinishedAgeMs()) * time.Millisecond)
 		if s != nil && message.GetFinished() && isNewEvent(success, s.lastSuccess) {
-			s.setSuccess(success)
+			l.setSuccess(s, success)
 		}
 	}
 }
--- a/entry/quarantine/quarantine.go
+++ b/entry/quarantine/quarantine.go
@@ -53,9 +53,13 @@
 	// digest, since independent failures are then counted for one suspect.
 	FailureLimit int
 	// OnFailure is called with each failure that this entry records, and with those of
-	// peers by which a request becomes quarantined. It may be nil. It must not call the
-	// list, whose lock is held.
+	// peers by which a request becomes quarantined or for which this entry recorded another
+	// failure. It may be nil. It must not call the list, whose lock is held.
 	OnFailure func(Failure)
+	// OnCleared is called when the failures of a suspect no longer count because of a success,
+	// if this entry recorded any of them. It may be nil. It must not call the list, whose lock is
+	// held.
+	OnCleared func()
 
 	mu       sync.Mutex
 	suspects map[Digest]*suspect
@@ -179,7 +183,8 @@
 	s.service = service
 	s.seenHere = s.seenHere || !fromPeer
 	wasQuarantined := l.quarantined(s)
-	if isNewEvent(at, s.failures[server]) {
+	isNew := isNewEvent(at, s.failures[server])
+	if isNew {
 		s.failures[server] = at
 	}
 	count := s.recentFailures(time.Now())
@@ -187,7 +192,7 @@
 		s.quarantinedAt = at
 	}
 	quarantined := !wasQuarantined && l.quarantined(s)
-	if l.OnFailure != nil && (!fromPeer || quarantined) {
+	if l.OnFailure != nil && (!fromPeer || quarantined || isNew && s.seenHere) {
 		l.OnFailure(Failure{
 			Digest:      digest,
 			Service:     service,
@@ -270,12 +275,18 @@
 	return last
 }
 
-// setSuccess records that a run of the request succeeded at a time.
-func (s *suspect) setSuccess(at time.Time) {
-	counted := s.quarantinedAt.After(s.lastSuccess) || s.recentFailures(time.Now()) > 0
+// setSuccess records that a run of a suspect succeeded at a time. The caller must hold the
+// lock.
+func (l *List) setSuccess(s *suspect, at time.Time) {
+	now := time.Now()
+	counted := l.weight(s) > 0
 	s.lastSuccess = at
-	if counted && s.recentFailures(time.Now()) == 0 {
-		s.clearedAt = time.Now()
+	if !counted || l.weight(s) > 0 {
+		return
+	}
+	s.clearedAt = now
+	if l.OnCleared != nil && s.seenHere {
+		l.OnCleared()
 	}
 }
 
@@ -308,7 +319,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if s := l.suspects[digest]; s != nil {
-		s.setSuccess(time.Now())
+		l.setSuccess(s, time.Now())
 	}
 }
 
--- a/entry/suspects_test.go
+++ b/entry/suspects_test.go
@@ -86,12 +86,7 @@
 		s.crashThree(crashingDigest)
 		time.Sleep(undisturbedWindow)
 		for range 3 {
-			s.stopAll()
-			time.Sleep(2 * time.Second)
-			for index := range s.nodes {
-				s.start(index)
-			}
-			time.Sleep(undisturbedWindow)
+			s.restartAll()
 			s.assertQuarantined(t, crashingDigest)
 		}
 	})
@@ -146,3 +141,86 @@
 		}
 	})
 }
+
+// crashTwo records that a request made two servers fail, each while another entry's request ran
+// there.
+func (s *platformSite) crashTwo(digest quarantine.Digest) {
+	for index := range 2 {
+		s.nodes[index].suspects.RecordFailure(digest, "desk", fmt.Sprintf("i-%d@1", index))
+	}
+}
+
+// TestStartingEntryLearnsSuspects guards against a request that crashes more servers than the
+// quarantine allows, because the entries were restarted in turn after the first two.
+func TestStartingEntryLearnsSuspects(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSuspectSite(t, 7, 0)
+		s.crashTwo(crashingDigest)
+		time.Sleep(30 * time.Second)
+		for index := range s.nodes {
+			s.stops[index]()
+			time.Sleep(time.Second)
+			s.start(index)
+			time.Sleep(undisturbedWindow)
+		}
+		s.nodes[6].suspects.RecordFailure(crashingDigest, "desk", "i-2@1")
+		time.Sleep(undisturbedWindow)
+		s.assertQuarantined(t, crashingDigest)
+	})
+}
+
+// TestSuspectsOutliveAllEntries guards against a request that crashes more servers than the
+// quarantine allows, because all entries were killed at the same time after the first two, also
+// repeatedly.
+func TestSuspectsOutliveAllEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSuspectSite(t, 7, 0)
+		s.crashTwo(crashingDigest)
+		time.Sleep(undisturbedWindow)
+		for range 3 {
+			s.restartAll()
+		}
+		s.nodes[6].suspects.RecordFailure(crashingDigest, "desk", "i-2@1")
+		time.Sleep(undisturbedWindow)
+		s.assertQuarantined(t, crashingDigest)
+	})
+}
+
+// TestClearedSuspectDoesNotOutliveEntries guards against the refusal of a request that crashes
+// nothing: one that succeeded since two servers failed with it must not be suspect again after
+// the entries were killed, in turn or at the same time.
+func TestClearedSuspectDoesNotOutliveEntries(t *testing.T) {
+	for _, inTurn := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSuspectSite(t, 7, 0)
+			s.crashTwo(crashingDigest)
+			time.Sleep(20 * time.Second)
+			s.nodes[2].suspects.RecordSuccess(crashingDigest)
+			time.Sleep(undisturbedWindow)
+			if inTurn {
+				for index := range s.nodes {
+					s.stops[index]()
+					s.start(index)
+					time.Sleep(undisturbedWindow)
+				}
+			} else {
+				s.restartAll()
+			}
+			s.nodes[6].suspects.RecordFailure(crashingDigest, "desk", "i-2@1")
+			time.Sleep(undisturbedWindow)
+			for index, n := range s.nodes {
+				assert.Assert(t, !n.suspects.Quarantined(crashingDigest), "in turn %t: entry %d refuses the request", inTurn, index)
+			}
+		})
+	}
+}
+
+// restartAll ends all entries at the same time and starts them again.
+func (s *platformSite) restartAll() {
+	s.stopAll()
+	time.Sleep(2 * time.Second)
+	for index := range s.nodes {
+		s.start(index)
+	}
+	time.Sleep(undisturbedWindow)
+}
