entry: bound response headers on the own interface

What operators of similar systems saw: a faulty backend server sent bytes that were no answer, without end; the machine that had called it kept them all and ran out of memory. The transports of the own interface left the limit of a header at the default of net/http, 10 MB for each response, a thirtieth of the smallest VM's memory. Change: they keep at most 64 KiB of a header, interim responses included.

--- a/entry/node.go
+++ b/entry/node.go
@@ -216,6 +216,10 @@
 	)
 }
 
+// maxResponseHeaderBytes bounds the header of a response, together with the interim responses
+// before it, in bytes. A faulty server may send bytes without end, which are kept until then.
+const maxResponseHeaderBytes = 64 << 10
+
 // newTransport returns an HTTP transport for connections to peers, backend servers or
 // the platform. It uses the SOCKS5 proxy in the settings, if there is one.
 func (n *node) newTransport() *http.Transport {
@@ -224,7 +228,9 @@
 		MaxIdleConnsPerHost:   maxIdleConnsPerHost,
 		IdleConnTimeout:       time.Minute,
 		ExpectContinueTimeout: expectContinueTimeout,
-		DisableCompression:    true,
+		// The default is 10 MB, for each response.
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		DisableCompression:     true,
 	}
 }
 
