entry/dispatch: refuse requests that outlast a planned stop

What callers saw: on the own interface, with a stop-timeout shorter than the deadlines of requests, those taken while the answers of look-ups expire were cut off at the end of the stop. With the defaults (11 min, deadlines of at most 10 min) it can't happen unless look-ups live longer than a minute. Change: from the beginning of a stop on, a request whose deadline is after its end is refused, of callers and of peers.

--- a/entry/dispatch/dispatch.go
+++ b/entry/dispatch/dispatch.go
@@ -68,6 +68,10 @@
 	// Metrics holds the counters of requests by outcome and of retries.
 	Metrics metrics.Registry
 
+	// ShutdownEnd returns when the shutdown of this entry ends, and the zero time before it has
+	// begun. A request whose deadline is later is refused. If ShutdownEnd is nil, none is.
+	ShutdownEnd func() time.Time
+
 	// BackendTransport sends requests to backend servers.
 	BackendTransport http.RoundTripper
 	// PeerTransport sends requests to peers.
@@ -117,6 +121,10 @@
 		d.writeOutcome(w, nil, withoutResponse(*rejection))
 		return
 	}
+	if d.outlastsShutdown(req) {
+		d.writeOutcome(w, nil, withoutResponse(outcome.FromPhase(phaseBeforeClaim(incoming), outcome.ReasonStopping, "this entry stops before the deadline")))
+		return
+	}
 	ctx, cancel := req.workContext()
 	defer cancel()
 	if ticket, isTicket := key.ParseTicket(req.Key); isTicket && !req.Idempotent && !d.Keys.IsIssuer(ticket) {
@@ -156,6 +164,10 @@
 		d.writeOutcome(w, nil, withoutResponse(*rejection))
 		return
 	}
+	if d.outlastsShutdown(req) {
+		d.writeOutcome(w, nil, withoutResponse(outcome.FromPhase(phase, outcome.ReasonStopping, "this entry stops before the deadline")))
+		return
+	}
 	ctx, cancel := req.workContext()
 	defer cancel()
 	if role == roleIssuer {
@@ -187,6 +199,16 @@
 	d.deliver(w, req, d.route(ctx, req), claim)
 }
 
+// outlastsShutdown reports whether the deadline of a request is after the end of a shutdown that
+// has begun, which would cut the request off.
+func (d *Dispatcher) outlastsShutdown(req *Request) bool {
+	if d.ShutdownEnd == nil {
+		return false
+	}
+	end := d.ShutdownEnd()
+	return !end.IsZero() && req.arrived.Add(req.timeout).After(end)
+}
+
 // InFlight returns the number of requests in flight.
 func (d *Dispatcher) InFlight() int64 {
 	return d.gate.inFlight()
--- a/entry/node.go
+++ b/entry/node.go
@@ -42,6 +42,8 @@
 	shuttingDown atomic.Bool
 	// refusingRequests is set once new requests are refused.
 	refusingRequests atomic.Bool
+	// shutdownEnd is when a graceful shutdown ends, nil before it begins.
+	shutdownEnd atomic.Pointer[time.Time]
 	// events holds the entry's time line.
 	events *timeline.Ring
 	// keeper follows the published configuration.
@@ -253,6 +255,7 @@
 		Quarantine:       &n.suspects,
 		Events:           n.events,
 		Metrics:          n.metrics,
+		ShutdownEnd:      n.stopsAt,
 		BackendTransport: n.newTransport(),
 		PeerTransport:    n.newTransport(),
 	}
--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -17,8 +17,8 @@
 const stoppingPropagationIntervals = 6
 
 // shutdown stops this entry gracefully. It removes the entry from look-ups, accepts
-// requests until the answers that callers cache have expired, then refuses new requests
-// and waits for those in flight. The HTTP servers, including the one for peers, are
+// requests until the answers that callers cache have expired, except those whose deadline is
+// after StopTimeout, then refuses new requests and waits for those in flight. The HTTP servers, including the one for peers, are
 // closed last. A process that has lost the ownership of the entry refuses new requests
 // at once. If StopTimeout ends while requests are in flight, shutdown abandons them and
 // returns an error.
@@ -26,7 +26,9 @@
 	n.shuttingDown.Store(true)
 	n.roster.UpdateSelf(func(self *teaselv1.Member) { self.Stopping = true })
 	n.recordShutdownStep("entry-stopping")
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(n.settings.Limits.StopTimeout))
+	end := time.Now().Add(time.Duration(n.settings.Limits.StopTimeout))
+	n.shutdownEnd.Store(&end)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	n.awaitLookupExpiry(ctx)
 	n.refusingRequests.Store(true)
@@ -44,6 +46,14 @@
 	return nil
 }
 
+// stopsAt returns when a shutdown that has begun ends, and else the zero time.
+func (n *node) stopsAt() time.Time {
+	if end := n.shutdownEnd.Load(); end != nil {
+		return *end
+	}
+	return time.Time{}
+}
+
 // recordShutdownStep records an event of the given kind in the time line and, with the
 // number of requests in flight, in the log.
 func (n *node) recordShutdownStep(kind string) {
