entry/quarantine: write the row for stored suspects only

Cause: each success that cleared a suspect of this entry wrote its row, also where the row had not held the suspect, with up to one write a second to the store while servers lose answers. Change: OnCleared is called only for requests that StoredSuspects or StoredQuarantines returned.

--- a/entry/quarantine/quarantine.go
+++ b/entry/quarantine/quarantine.go
@@ -56,8 +56,8 @@
 	// peers by which a request becomes quarantined or for which this entry recorded another
 	// failure. It may be nil. It must not call the list, whose lock is held.
 	OnFailure func(Failure)
-	// OnCleared is called when the failures of a suspect no longer count because of a success,
-	// if this entry recorded any of them. It may be nil. It must not call the list, whose lock is
+	// OnCleared is called when a success clears a request that StoredSuspects or
+	// StoredQuarantines returned before. It may be nil. It must not call the list, whose lock is
 	// held.
 	OnCleared func()
 
@@ -278,14 +278,13 @@
 // setSuccess records that a run of a suspect succeeded at a time. The caller must hold the
 // lock.
 func (l *List) setSuccess(s *suspect, at time.Time) {
-	now := time.Now()
-	counted := l.weight(s) > 0
+	weight := l.weight(s)
 	s.lastSuccess = at
-	if !counted || l.weight(s) > 0 {
+	if weight == 0 || l.weight(s) > 0 {
 		return
 	}
-	s.clearedAt = now
-	if l.OnCleared != nil && s.seenHere {
+	s.clearedAt = time.Now()
+	if stored := s.seenHere && weight >= l.failureLimit()-1; stored && l.OnCleared != nil {
 		l.OnCleared()
 	}
 }
