entry: a stop lasts into the last sixth of a short grace period

What callers would see: with a grace period below 3.6 s, requests that were sent early in a planned stop are cut off at work before the last sixth of the grace period, in which the platform excuses it. Cause: the process ended a fixed 0.6 s before the end of the grace period. Found while the other phases of a stop were read for the cause of the lost requests. Change: the margin is at most 0.15 of the grace period. The deployments in force have 6 s and 10 s and are as before.

--- a/entry/platform_node.go
+++ b/entry/platform_node.go
@@ -381,8 +381,10 @@
 	lameDuckTime = 2800 * time.Millisecond
 	// exitMargin is how long before SIGKILL, at the end of the grace period, the process
 	// stops waiting for requests in flight, since its exit takes a while on a slow VM.
-	// The platform expects no answers in the last sixth of the grace period.
-	exitMargin = 600 * time.Millisecond
+	// The platform expects no answers in the last sixth of the grace period, so the margin is
+	// at most exitMarginShare of it.
+	exitMargin      = 600 * time.Millisecond
+	exitMarginShare = 0.15
 	// giveUpTime is how long the entry then waits until the callers of these requests have got
 	// their answers.
 	giveUpTime = 100 * time.Millisecond
@@ -459,12 +461,12 @@
 // is shorter, while callers move to other entries. From then on, requests that may not be
 // answered before the end of the shutdown are refused. It then stops reading requests, closes
 // the listeners and waits until the requests that were read are answered, or the grace
-// period, less exitMargin, is over. Those that are in flight then are given up and told so: a
+// period, less the margin, is over. Those that are in flight then are given up and told so: a
 // caller whose connection just ended would not know whether its request was read. servers are shut down in order, that for callers first:
 // until its end, the entry answers look-ups, with the addresses of the others.
 func (n *platformNode) shutdown(grace time.Duration, servers []*http.Server) {
 	n.logger.Info().Str("event", "stopping").Int64("in-flight", n.gateway.InFlight()).Int64("grace-ms", grace.Milliseconds()).Msg("")
-	end := time.Now().Add(grace - exitMargin)
+	end := time.Now().Add(shutdownTime(grace))
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	n.shuttingDown.Store(true)
@@ -483,6 +485,11 @@
 	}
 }
 
+// shutdownTime returns how long after SIGTERM requests may be in flight.
+func shutdownTime(grace time.Duration) time.Duration {
+	return grace - min(exitMargin, time.Duration(exitMarginShare*float64(grace)))
+}
+
 // awaitAnswers waits until all requests that were read are answered, or a time has passed.
 func (n *platformNode) awaitAnswers(timeout time.Duration) {
 	const interval = 5 * time.Millisecond
