entry: catch SIGHUP before the settings are read

What operators see: an entry that gets SIGHUP in the first moments after its start ends. Cause: the signal was caught only after the settings had been read; until then it ends the process. Named by the review, from reading the code. Change: it is caught first. Evidence: TestReloadSignalDuringStart holds the entry at its settings file and sends SIGHUP; without the change the entry is never ready, with it it is.

--- a/entry/main.go
+++ b/entry/main.go
@@ -111,6 +111,9 @@
 // runPlatformNode runs a platformNode until SIGTERM or an interrupt and returns the
 // exit code. SIGHUP reloads its settings.
 func runPlatformNode() int {
+	// Until it is caught, the signal ends the process.
+	reloadSignals := make(chan os.Signal, 1)
+	signal.Notify(reloadSignals, syscall.SIGHUP)
 	loaded, err := platform.ReadSettings(platform.SettingsPath())
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "entry:", err)
@@ -121,8 +124,6 @@
 	logger := logline.NewJSON(buffer, "entry", loaded.Name)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	reloadSignals := make(chan os.Signal, 1)
-	signal.Notify(reloadSignals, syscall.SIGHUP)
 	n := newPlatformNode(loaded, logger, buffer.Dropped)
 	open, err := n.listen()
 	if err != nil {
--- a/standin/gate/deployment_test.go
+++ b/standin/gate/deployment_test.go
@@ -225,6 +225,11 @@
 	}
 	entry := d.entries[index]
 	assert.NilError(d.t, os.WriteFile(entry.settingsFile, []byte(d.entrySettings(index)), 0o600))
+	d.runEntry(entry)
+}
+
+// runEntry starts the program of an entry, whose settings file exists.
+func (d *deployment) runEntry(entry *process) {
 	entry.command = exec.Command(entryBinary, "--platform")
 	entry.command.Env = append(os.Environ(), "TEASELSTACK_NODE_FILE="+entry.settingsFile)
 	entry.command.Stdout = &entry.output
--- a/standin/gate/scenario_test.go
+++ b/standin/gate/scenario_test.go
@@ -1,6 +1,7 @@
 package gate_test
 
 import (
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -105,3 +106,26 @@
 		d.awaitServing()
 	})
 }
+
+// TestReloadSignalDuringStart guards against an entry that ends because its settings change, and
+// it is told so, while it starts: SIGHUP ends a process that doesn't catch it yet.
+func TestReloadSignalDuringStart(t *testing.T) {
+	d := startDeployment(t, 3)
+	entry := d.entries[0]
+	d.signalEntry(0, syscall.SIGTERM)
+	assert.NilError(t, d.waitEntry(0))
+	// The entry waits for its settings until the test has written them to the pipe.
+	assert.NilError(t, os.Remove(entry.settingsFile))
+	assert.NilError(t, syscall.Mkfifo(entry.settingsFile, 0o600))
+	d.runEntry(entry)
+	pipe, err := os.OpenFile(entry.settingsFile, os.O_WRONLY, 0)
+	assert.NilError(t, err)
+	d.signalEntry(0, syscall.SIGHUP)
+	assert.NilError(t, os.Remove(entry.settingsFile))
+	settings := []byte(d.entrySettings(0))
+	assert.NilError(t, os.WriteFile(entry.settingsFile, settings, 0o600))
+	_, err = pipe.Write(settings)
+	assert.NilError(t, err)
+	assert.NilError(t, pipe.Close())
+	d.eventually("the entry is ready", func() bool { return d.ready(entry) })
+}
