entry/quarantine: failures that servers survive do not count

Cause: a connection that breaks while a server runs a request counts as a crash, also if the server lives on, and only a success ends a quarantine. Change: once the store has confirmed the registrations as of ten seconds after a failure, and the server is still registered as the same incarnation, the failure no longer counts. A quarantined request for which too few failures are left is cleared as by a success, which the others are told. Quarantined requests are stored with their failures, so that this also holds after restarts. Evidence: TestFailuresThatServersSurviveDoNotCount; without the failures in the rows its case with restarts failed, and without the check both cases of living servers would. In its cases of servers that did crash, the request stays quarantined.

--- a/entry/gateway/forward.go
+++ b/entry/gateway/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -279,6 +280,17 @@
 	return server.ID + "@" + strconv.FormatInt(server.StartUnixMS, 10)
 }
 
+// ParseIncarnationKey returns the ID and the start of the server that a key of the quarantine
+// identifies.
+func ParseIncarnationKey(key string) (serverID string, startUnixMS int64, ok bool) {
+	at := strings.LastIndexByte(key, '@')
+	if at < 0 {
+		return "", 0, false
+	}
+	startUnixMS, err := strconv.ParseInt(key[at+1:], 10, 64)
+	return key[:at], startUnixMS, err == nil
+}
+
 // classifyResponse derives from a response the health signal, the reason, and whether
 // the request may have run. A response with a Content-Encoding, or a success without
 // the server's stamp, counts as the response to another request.
--- a/entry/placement/update.go
+++ b/entry/placement/update.go
@@ -182,6 +182,14 @@
 	return record != nil && record.Incarnation() == incarnation
 }
 
+// RunsSince reports whether a backend server is registered with a start at the given time.
+func (f *Fleet) RunsSince(id string, startUnixMS int64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	record := f.servers[id]
+	return record != nil && record.StartUnixMS == startUnixMS
+}
+
 // Eligible reports whether a server that was chosen earlier may still be sent
 // requests: the same incarnation is registered, it is neither draining nor leaving nor
 // replaced, it does not want to wait, and its failure domain is not evacuated.
--- a/entry/platform_node.go
+++ b/entry/platform_node.go
@@ -155,7 +155,7 @@
 		OnServersUpdated:   n.updateServers,
 		OnServersRemoved:   n.removeServers,
 		OnDoubtfulServers:  n.fleet.SetDoubtful,
-		OnServersConfirmed: n.fleet.ConfirmRegistrations,
+		OnServersConfirmed: n.confirmServers,
 		Logger:             logger,
 		SnapshotSources:    n.snapshotSources,
 		FindReader:         n.findReader,
@@ -219,6 +219,15 @@
 	n.suspects.CheckUnanswered()
 }
 
+// confirmServers applies that the registrations known are those at a time.
+func (n *platformNode) confirmServers(at time.Time) {
+	n.fleet.ConfirmRegistrations(at)
+	n.suspects.CheckSurvivors(at, func(server string) bool {
+		id, startUnixMS, ok := gateway.ParseIncarnationKey(server)
+		return ok && n.fleet.RunsSince(id, startUnixMS)
+	})
+}
+
 // logServerState logs that the state of a backend server changed.
 func (n *platformNode) logServerState(server *routing.Server, state placement.ServerState, cause string) {
 	n.logger.Info().Str("event", "server").Str("server", server.ID).Str("belief", string(state)).Str("cause", cause).
--- a/entry/quarantine/heartbeat.go
+++ b/entry/quarantine/heartbeat.go
@@ -74,8 +74,8 @@
 		return s.failures[b].Compare(s.failures[a])
 	})
 	for _, server := range latest[:min(len(latest), limit)] {
-		if !s.failures[server].After(s.lastSuccess) {
-			break
+		if !s.counts(server) {
+			continue
 		}
 		message.Breaks = append(message.Breaks, &teaselv1.SuspectBreak{
 			Server: server,
@@ -112,15 +112,16 @@
 	return l.encodeQuarantines(maxStoredQuarantines, func(s *suspect) bool { return s.seenHere })
 }
 
-// StoredSuspects returns the suspects for which this entry recorded any failure and that the
-// failure of one more server would quarantine, to be kept where they outlive the process.
+// StoredSuspects returns the suspects for which this entry recorded any failure and that are
+// quarantined or would be by the failure of one more server, to be kept where they outlive the
+// process. With the failures, a later process can tell which ones the servers have survived.
 func (l *List) StoredSuspects() []*teaselv1.Suspect {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
 	var messages []*teaselv1.Suspect
 	for digest, s := range l.suspects {
-		if !s.seenHere || l.quarantined(s) || s.recentFailures(now) < l.failureLimit()-1 {
+		if !s.seenHere || s.recentFailures(now) < l.failureLimit()-1 {
 			continue
 		}
 		messages = append(messages, s.encode(digest, now, l.failureLimit()))
--- a/entry/quarantine/quarantine.go
+++ b/entry/quarantine/quarantine.go
@@ -56,7 +56,7 @@
 	// peers by which a request becomes quarantined or for which this entry recorded another
 	// failure. It may be nil. It must not call the list, whose lock is held.
 	OnFailure func(Failure)
-	// OnCleared is called when a success clears a request that StoredSuspects or
+	// OnCleared is called when a success, or the survival of a server, clears a request that StoredSuspects or
 	// StoredQuarantines returned before. It may be nil. It must not call the list, whose lock is
 	// held.
 	OnCleared func()
@@ -76,6 +76,9 @@
 	// failures holds the time of the last failure of each backend server, by the server
 	// passed to RecordFailure.
 	failures map[string]time.Time
+	// survived holds the times of those failures that were none, since the server went on
+	// running, by the server.
+	survived map[string]time.Time
 	// seenHere reports whether this entry recorded any of the failures itself.
 	seenHere bool
 	// quarantinedAt is the time of the failure by which the request was last quarantined,
@@ -119,6 +122,9 @@
 	// backend server counts as a failure. A server that ends in silence is missed after
 	// three of its heartbeats, or later while the store is away.
 	unansweredLifetime = 15 * time.Second
+	// survivalTime is how long after a failure a server that has crashed is still registered at
+	// most: three of its heartbeats, and the time to learn of it.
+	survivalTime = 10 * time.Second
 	// maxUnanswered is the maximum number of requests without an answer in a list.
 	maxUnanswered = 512
 )
@@ -183,7 +189,8 @@
 	s.service = service
 	s.seenHere = s.seenHere || !fromPeer
 	wasQuarantined := l.quarantined(s)
-	isNew := isNewEvent(at, s.failures[server])
+	survived := s.survived[server]
+	isNew := isNewEvent(at, s.failures[server]) || !fromPeer && !survived.IsZero() && at.After(survived)
 	if isNew {
 		s.failures[server] = at
 	}
@@ -216,6 +223,7 @@
 		l.evict()
 		s = &suspect{
 			failures: make(map[string]time.Time),
+			survived: make(map[string]time.Time),
 		}
 		l.suspects[digest] = s
 	}
@@ -304,14 +312,71 @@
 // and after the last success of the suspect.
 func (s *suspect) recentFailures(now time.Time) int {
 	count := 0
-	for _, at := range s.failures {
-		if at.After(s.lastSuccess) && now.Sub(at) < FailureLifetime {
+	for server, at := range s.failures {
+		if s.counts(server) && now.Sub(at) < FailureLifetime {
 			count++
 		}
 	}
 	return count
 }
 
+// counts reports whether the failure of a server is later than the last success, and the server
+// has not survived it.
+func (s *suspect) counts(server string) bool {
+	at := s.failures[server]
+	return at.After(s.lastSuccess) && at.After(s.survived[server])
+}
+
+// CheckSurvivors finds the failures that were none. A connection that breaks while a server runs a
+// request counts as a failure of the server, but a server that has crashed is not registered any
+// more after survivalTime, or as another incarnation. The registrations are those at asOf, and
+// registered reports whether there is one of a server, as passed to RecordFailure. A quarantined
+// request for which too few failures are left is cleared.
+func (l *List) CheckSurvivors(asOf time.Time, registered func(server string) bool) {
+	l.mu.Lock()
+	candidates := make(map[string]bool)
+	for _, s := range l.suspects {
+		for server, at := range s.failures {
+			if s.counts(server) && asOf.Sub(at) >= survivalTime {
+				candidates[server] = false
+			}
+		}
+	}
+	l.mu.Unlock()
+	for server := range candidates {
+		candidates[server] = registered(server)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range l.suspects {
+		l.applySurvivors(s, asOf, candidates)
+	}
+}
+
+// applySurvivors records which servers have survived their failures with a suspect. The caller must
+// hold the lock.
+func (l *List) applySurvivors(s *suspect, asOf time.Time, alive map[string]bool) {
+	before := l.weight(s)
+	changed := false
+	for server, at := range s.failures {
+		if alive[server] && s.counts(server) && asOf.Sub(at) >= survivalTime {
+			s.survived[server] = at
+			changed = true
+		}
+	}
+	if !changed {
+		return
+	}
+	left := s.recentFailures(time.Now())
+	switch limit := l.failureLimit(); {
+	case left >= limit:
+	case l.quarantined(s):
+		l.setSuccess(s, time.Now())
+	case s.seenHere && before >= limit-1 && left < limit-1 && l.OnCleared != nil:
+		l.OnCleared()
+	}
+}
+
 // RecordSuccess records that a request succeeded. Its failures up to now no longer
 // count.
 func (l *List) RecordSuccess(digest Digest) {
--- a/entry/suspects_test.go
+++ b/entry/suspects_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/teaselstack/teaselstack/entry/quarantine"
+	"github.com/teaselstack/teaselstack/platform"
 )
 
 // newSuspectSite starts entries in three regions, without servers.
@@ -224,3 +225,72 @@
 	}
 	time.Sleep(undisturbedWindow)
 }
+
+// TestFailuresThatServersSurviveDoNotCount guards against the refusal of a request that crashes
+// nothing: servers lost their answers to it and live on. It is refused until the registrations
+// show that, also if the entries are restarted meanwhile, and not longer.
+func TestFailuresThatServersSurviveDoNotCount(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		restart bool
+		// crash is set if the servers did crash, and start again.
+		crash bool
+	}{
+		{
+			name: "servers live",
+		},
+		{
+			name:    "servers live, entries are restarted",
+			restart: true,
+		},
+		{
+			name:  "servers crash",
+			crash: true,
+		},
+		{
+			name:    "servers crash, entries are restarted",
+			crash:   true,
+			restart: true,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newPlatformSite(t, &platformSite{
+					regions: 3,
+					slots:   3,
+				}, 7, 6)
+				for index := range 3 {
+					s.nodes[index].suspects.RecordFailure(crashingDigest, "desk", fmt.Sprintf("i-%d@1", index))
+				}
+				if test.crash {
+					time.Sleep(time.Second)
+					for index := range 3 {
+						s.store.PutRow(platform.ServerTable, fmt.Sprintf("i-%d", index), fmt.Appendf(nil,
+							`{"addr":"10.9.0.%d:8080","info":{"service":"desk","version":"v1","zone":"region-%d-a","slots":3},"status":{"state":"ready","seq":1,"cold_left":"0ms"},"born":2}`,
+							index+1, index))
+					}
+				}
+				time.Sleep(undisturbedWindow)
+				s.assertQuarantined(t, crashingDigest)
+				if test.restart {
+					s.restartAll()
+				}
+				time.Sleep(15 * time.Second)
+				for index, n := range s.nodes {
+					assert.Equal(t, n.suspects.Quarantined(crashingDigest), test.crash, "entry %d", index)
+				}
+				if test.crash {
+					return
+				}
+				// Two servers fail with the request later: what they survived must not count.
+				for index := 3; index < 5; index++ {
+					s.nodes[index].suspects.RecordFailure(crashingDigest, "desk", fmt.Sprintf("i-%d@1", index))
+				}
+				time.Sleep(undisturbedWindow)
+				for index, n := range s.nodes {
+					assert.Assert(t, !n.suspects.Quarantined(crashingDigest), "entry %d refuses the request", index)
+				}
+			})
+		})
+	}
+}
