--- a/standin/gate/soak_test.go
+++ b/standin/gate/soak_test.go
@@ -214,7 +214,9 @@
 //
 //   - 17 stops an entry and pauses it before it has exited; the end of the first fault waited for
 //     the exit, before that of the second.
-var regressionSeeds = []uint64{17}
+//   - 9011 lets three servers lose answers; the requests were refused as quarantined for longer
+//     than the callers wait, since servers that live on counted as crashed.
+var regressionSeeds = []uint64{17, 9011}
 
 // TestSoak injects randomly chosen faults, one after another and overlapping,
 // while callers keep their connections open. The seed determines the faults
