entry: the planned stop in a file of its own

Moved without a change of behaviour: constants and functions of the stop to platform_shutdown.go, its tests to files of their own; the tests of suspects share restartInTurn.

--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -485,30 +485,3 @@
 		assert.Equal(t, h.receivedCount(), 1)
 	})
 }
-
-// TestRequestsInFlightAtTheEndAreAnswered checks that a request that is in flight when the process
-// is about to end gets an answer at once, which doesn't claim that it has not run, and that its
-// server is not suspected of anything.
-func TestRequestsInFlightAtTheEndAreAnswered(t *testing.T) {
-	slow := func(_ *harness, _ string, _ net.Conn, _ *http.Request) bool {
-		time.Sleep(time.Minute)
-		return false
-	}
-	for _, path := range []string{"/book/1", "/browse/1"} {
-		withHarness(t, slow, []string{"a", "b"}, func(t *testing.T, h *harness) {
-			ending, giveUp := context.WithCancel(t.Context())
-			h.gateway.Ending = ending
-			time.AfterFunc(time.Second, giveUp)
-			began := time.Now()
-			response, aborted := h.send(newRequest(http.MethodPost, path, "r1", "offer"))
-			assert.Assert(t, !aborted)
-			assert.Equal(t, response.Code, http.StatusBadGateway)
-			assert.Equal(t, response.Body.String(), "stopping\n")
-			assert.Equal(t, time.Since(began), time.Second)
-			assert.Equal(t, h.receivedCount(), 1)
-			h.restart("a")
-			h.restart("b")
-			assert.Equal(t, len(h.gateway.Quarantine.Suspects()), 0)
-		})
-	}
-}
--- a/entry/gateway/refusal_test.go
+++ b/entry/gateway/refusal_test.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"strconv"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -66,67 +65,3 @@
 		})
 	}
 }
-
-// TestRequestsThatOutlastShutdownAreRefused checks that an entry whose shutdown ends soon serves
-// a request only if its deadline is before that, and refuses the others at once: they can be
-// retried through another entry.
-func TestRequestsThatOutlastShutdownAreRefused(t *testing.T) {
-	for _, test := range []struct {
-		name       string
-		deadlineMS string
-		untilEnd   time.Duration
-		want       int
-	}{
-		{
-			name:       "no shutdown",
-			deadlineMS: "4000",
-			want:       http.StatusOK,
-		},
-		{
-			name:       "deadline of the caller before the end",
-			deadlineMS: "500",
-			untilEnd:   time.Second,
-			want:       http.StatusOK,
-		},
-		{
-			name:       "timeout of the route before the end",
-			deadlineMS: "4000",
-			untilEnd:   2500 * time.Millisecond,
-			want:       http.StatusOK,
-		},
-		{
-			name:       "deadline behind the end",
-			deadlineMS: "1100",
-			untilEnd:   time.Second,
-			want:       http.StatusServiceUnavailable,
-		},
-		{
-			name:       "wait for the server's answer at the deadline behind the end",
-			deadlineMS: "900",
-			untilEnd:   time.Second,
-			want:       http.StatusServiceUnavailable,
-		},
-	} {
-		t.Run(test.name, func(t *testing.T) {
-			withHarness(t, respondOK, []string{"a", "b"}, func(t *testing.T, h *harness) {
-				var end time.Time
-				if test.untilEnd > 0 {
-					end = time.Now().Add(test.untilEnd)
-				}
-				h.gateway.ResponsesDue = func() time.Time { return end }
-				request := newRequest(http.MethodPost, "/book/1", "r1", "offer")
-				request.Header.Set(headerNames.DeadlineMS, test.deadlineMS)
-				response, aborted := h.send(request)
-				assert.Assert(t, !aborted)
-				assert.Equal(t, response.Code, test.want)
-				if test.want == http.StatusOK {
-					return
-				}
-				assert.Equal(t, h.receivedCount(), 0)
-				wait, err := strconv.ParseFloat(response.Header().Get("Retry-After"), 64)
-				assert.NilError(t, err)
-				assert.Assert(t, wait < 0.1, "%g s", wait)
-			})
-		})
-	}
-}
--- /dev/null
+++ b/entry/platform_shutdown.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"time"
+)
+
+const (
+	// lameDuckTime is how long after SIGTERM the entry serves all new requests. Later, it
+	// serves those that are certainly answered before its end, and refuses the others. The
+	// time to live of a look-up's answer is at most maxLookupTTL; most callers that use an
+	// answer for three times as long have moved to other entries by then. The platform
+	// accepts that the end of the grace period cuts off requests that were sent up to three
+	// seconds after SIGTERM. The rest of that time is for the delivery of the signal and of
+	// requests.
+	lameDuckTime = 2800 * time.Millisecond
+	// exitMargin is how long before SIGKILL, at the end of the grace period, the process
+	// stops waiting for requests in flight, since its exit takes a while on a slow VM.
+	// The platform expects no answers in the last sixth of the grace period, so the margin is
+	// at most exitMarginShare of it.
+	exitMargin      = 600 * time.Millisecond
+	exitMarginShare = 0.15
+	// giveUpTime is how long the entry then waits until the callers of these requests have got
+	// their answers.
+	giveUpTime = 100 * time.Millisecond
+)
+
+// shutdown keeps accepting requests for lameDuckTime, or half of the grace period if that
+// is shorter, while callers move to other entries. From then on, requests that may not be
+// answered before the end of the shutdown are refused. It then stops reading requests, closes
+// the listeners and waits until the requests that were read are answered, or shutdownTime is
+// over. Those that are in flight then are given up and told so: a caller whose connection just
+// ended would not know whether its request was read. servers are shut down in order, that for
+// callers first: until its end, the entry answers look-ups, with the addresses of the others.
+func (n *platformNode) shutdown(grace time.Duration, servers []*http.Server) {
+	n.logger.Info().Str("event", "stopping").Int64("in-flight", n.gateway.InFlight()).Int64("grace-ms", grace.Milliseconds()).Msg("")
+	end := time.Now().Add(shutdownTime(grace))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	n.shuttingDown.Store(true)
+	n.tracker.Announce()
+	time.Sleep(min(lameDuckTime, grace/2))
+	n.responsesDue.Store(&end)
+	if err := n.pipeline.Drain(ctx); err != nil {
+		n.logger.Warn().Str("event", "drain-incomplete").Int("outstanding", n.pipeline.Outstanding()).Err(err).Msg("")
+	}
+	n.giveUp()
+	n.awaitAnswers(giveUpTime)
+	for _, server := range servers {
+		if err := server.Shutdown(ctx); err != nil {
+			n.logger.Warn().Str("event", "stopped-early").Int64("in-flight", n.gateway.InFlight()).Err(err).Msg("")
+		}
+	}
+}
+
+// shutdownTime returns how long after SIGTERM requests may be in flight.
+func shutdownTime(grace time.Duration) time.Duration {
+	return grace - min(exitMargin, time.Duration(exitMarginShare*float64(grace)))
+}
+
+// awaitAnswers waits until all requests that were read are answered, or a time has passed.
+func (n *platformNode) awaitAnswers(timeout time.Duration) {
+	const interval = 5 * time.Millisecond
+	for deadline := time.Now().Add(timeout); n.pipeline.Outstanding() > 0 && time.Now().Before(deadline); {
+		time.Sleep(interval)
+	}
+}
+
+// shutdownEnd returns when a shutdown ends, once lameDuckTime is over, and before the zero
+// time.
+func (n *platformNode) shutdownEnd() time.Time {
+	if due := n.responsesDue.Load(); due != nil {
+		return *due
+	}
+	return time.Time{}
+}
--- a/entry/suspects_test.go
+++ b/entry/suspects_test.go
@@ -69,13 +69,7 @@
 		s := newSuspectSite(t, 7, 0)
 		s.crashThree(crashingDigest)
 		time.Sleep(30 * time.Second)
-		for index := range s.nodes {
-			s.stops[index]()
-			time.Sleep(time.Second)
-			s.start(index)
-			time.Sleep(undisturbedWindow)
-			s.assertQuarantined(t, crashingDigest)
-		}
+		s.restartInTurn(func() { s.assertQuarantined(t, crashingDigest) })
 	})
 }
 
@@ -158,12 +152,7 @@
 		s := newSuspectSite(t, 7, 0)
 		s.crashTwo(crashingDigest)
 		time.Sleep(30 * time.Second)
-		for index := range s.nodes {
-			s.stops[index]()
-			time.Sleep(time.Second)
-			s.start(index)
-			time.Sleep(undisturbedWindow)
-		}
+		s.restartInTurn(func() {})
 		s.nodes[6].suspects.RecordFailure(crashingDigest, "desk", "i-2@1")
 		time.Sleep(undisturbedWindow)
 		s.assertQuarantined(t, crashingDigest)
@@ -199,11 +188,7 @@
 			s.nodes[2].suspects.RecordSuccess(crashingDigest)
 			time.Sleep(undisturbedWindow)
 			if inTurn {
-				for index := range s.nodes {
-					s.stops[index]()
-					s.start(index)
-					time.Sleep(undisturbedWindow)
-				}
+				s.restartInTurn(func() {})
 			} else {
 				s.restartAll()
 			}
@@ -216,6 +201,17 @@
 	}
 }
 
+// restartInTurn ends each entry and starts it again, and calls check once it has run for a while.
+func (s *platformSite) restartInTurn(check func()) {
+	for index := range s.nodes {
+		s.stops[index]()
+		time.Sleep(time.Second)
+		s.start(index)
+		time.Sleep(undisturbedWindow)
+		check()
+	}
+}
+
 // restartAll ends all entries at the same time and starts them again.
 func (s *platformSite) restartAll() {
 	s.stopAll()
