entry: log when a request is no longer suspected of crashing servers

On-call engineers saw when a request was quarantined, not when and that it was sent again. The list now calls OnCleared for each request that was quarantined or kept in the row, with its digest, and the entry logs suspect-cleared.

--- a/entry/platform_node.go
+++ b/entry/platform_node.go
@@ -121,7 +121,7 @@
 		Store:  n.newStore(),
 		Logger: logger,
 	}
-	n.suspects.OnCleared = n.tracker.UpdateRow
+	n.suspects.OnCleared = n.handleCleared
 	n.fleet = placement.New(settings.Region, n.entryPosition,
 		placement.WithFailureDomain(settings.FailureDomain),
 		placement.WithEntries(settings.Name, n.servingEntries),
@@ -266,6 +266,13 @@
 		Bool("quarantined", failure.Quarantined).Msg("")
 }
 
+// handleCleared logs that a request is no longer suspected of crashing servers, and takes it out
+// of this entry's row.
+func (n *platformNode) handleCleared(digest quarantine.Digest) {
+	n.tracker.UpdateRow()
+	n.logger.Info().Str("event", "suspect-cleared").Str("digest", digest.String()).Msg("")
+}
+
 // fillPresence adds to a message to the other entries this entry's requests in flight at
 // each backend server, the servers that fail its requests, the recent suspects and the
 // quarantined requests. While another entry has just started, it adds all suspects.
--- a/entry/quarantine/heartbeat.go
+++ b/entry/quarantine/heartbeat.go
@@ -247,7 +247,7 @@
 		s := l.suspects[digest]
 		success := now.Add(-time.Duration(message.GetFinishedAgeMs()) * time.Millisecond)
 		if s != nil && message.GetFinished() && isNewEvent(success, s.lastSuccess) {
-			l.setSuccess(s, success)
+			l.setSuccess(digest, s, success)
 		}
 	}
 }
--- a/entry/quarantine/quarantine.go
+++ b/entry/quarantine/quarantine.go
@@ -56,10 +56,10 @@
 	// peers by which a request becomes quarantined or for which this entry recorded another
 	// failure. It may be nil. It must not call the list, whose lock is held.
 	OnFailure func(Failure)
-	// OnCleared is called when a success, or the survival of a server, clears a request that StoredSuspects or
-	// StoredQuarantines returned before. It may be nil. It must not call the list, whose lock is
-	// held.
-	OnCleared func()
+	// OnCleared is called when a success, or the survival of a server, clears a request that was
+	// quarantined or that StoredSuspects returned. It may be nil. It must not call the list,
+	// whose lock is held.
+	OnCleared func(Digest)
 
 	mu       sync.Mutex
 	suspects map[Digest]*suspect
@@ -285,15 +285,15 @@
 
 // setSuccess records that a run of a suspect succeeded at a time. The caller must hold the
 // lock.
-func (l *List) setSuccess(s *suspect, at time.Time) {
-	weight := l.weight(s)
+func (l *List) setSuccess(digest Digest, s *suspect, at time.Time) {
+	weight, wasQuarantined := l.weight(s), l.quarantined(s)
 	s.lastSuccess = at
 	if weight == 0 || l.weight(s) > 0 {
 		return
 	}
 	s.clearedAt = time.Now()
-	if stored := s.seenHere && weight >= l.failureLimit()-1; stored && l.OnCleared != nil {
-		l.OnCleared()
+	if stored := s.seenHere && weight >= l.failureLimit()-1; (stored || wasQuarantined) && l.OnCleared != nil {
+		l.OnCleared(digest)
 	}
 }
 
@@ -348,14 +348,14 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, s := range l.suspects {
-		l.applySurvivors(s, asOf, candidates)
+	for digest, s := range l.suspects {
+		l.applySurvivors(digest, s, asOf, candidates)
 	}
 }
 
 // applySurvivors records which servers have survived their failures with a suspect. The caller must
 // hold the lock.
-func (l *List) applySurvivors(s *suspect, asOf time.Time, alive map[string]bool) {
+func (l *List) applySurvivors(digest Digest, s *suspect, asOf time.Time, alive map[string]bool) {
 	before := l.weight(s)
 	changed := false
 	for server, at := range s.failures {
@@ -371,9 +371,9 @@
 	switch limit := l.failureLimit(); {
 	case left >= limit:
 	case l.quarantined(s):
-		l.setSuccess(s, time.Now())
+		l.setSuccess(digest, s, time.Now())
 	case s.seenHere && before >= limit-1 && left < limit-1 && l.OnCleared != nil:
-		l.OnCleared()
+		l.OnCleared(digest)
 	}
 }
 
@@ -383,7 +383,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if s := l.suspects[digest]; s != nil {
-		l.setSuccess(s, time.Now())
+		l.setSuccess(digest, s, time.Now())
 	}
 }
 
