entry: log requests that a planned stop cuts off, and answers that can't be delivered

Where a request of the users' record of LOST ended was not to be told from the logs: a process that ended with requests in flight named none of them, an answer that could not be written was logged as answered, and the end of the wait for requests left no line. Change: 'unanswered' names each request under way at the end, and whether the stop waited for it; 'undelivered' an answer whose write failed; 'drained' is the end of the wait.

--- a/entry/pipeline/conn.go
+++ b/entry/pipeline/conn.go
@@ -46,6 +46,8 @@
 	handlerDone chan struct{}
 	// current is the early start of the current request, nil if it was not started early.
 	current *exchange
+	// requestID is the ID of the current request, or of the last one.
+	requestID string
 	// early holds the early starts of the requests at the beginning of pending, in order.
 	early []*exchange
 	// examined is the size of the requests in early.
@@ -153,6 +155,19 @@
 	return nil
 }
 
+// Write implements net.Conn. It logs the request whose response can't be delivered: the
+// http.Server writes the end of a response after its handler has returned.
+func (c *conn) Write(p []byte) (int, error) {
+	count, err := c.Conn.Write(p)
+	if err != nil {
+		c.mu.Lock()
+		id := c.requestID
+		c.mu.Unlock()
+		c.handler.Logger.Warn().Str("event", "undelivered").Str("id", id).Str("failure", err.Error()).Msg("")
+	}
+	return count, err
+}
+
 // mayClose reports whether the caller may be asked to close the connection after the current
 // response: no request behind it was started. If so, none will be.
 func (c *conn) mayClose() bool {
@@ -322,6 +337,7 @@
 	}
 	c.serving = true
 	c.handlerDone = make(chan struct{})
+	c.requestID = request.Header.Get(c.handler.RequestIDHeader)
 	admitted = true
 	if !c.counted && !c.closed {
 		// The request began while the ends of requests weren't known.
--- a/entry/pipeline/pipeline.go
+++ b/entry/pipeline/pipeline.go
@@ -8,8 +8,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -238,6 +240,22 @@
 	return h.outstanding
 }
 
+// LogUnanswered logs the requests whose handlers run, just before the process ends and cuts them
+// off.
+func (h *Handler) LogUnanswered() {
+	h.mu.Lock()
+	conns := slices.Collect(maps.Keys(h.conns))
+	h.mu.Unlock()
+	for _, c := range conns {
+		c.mu.Lock()
+		id, running, counted := c.requestID, c.handlerDone != nil, c.counted
+		c.mu.Unlock()
+		if running {
+			h.Logger.Warn().Str("event", "unanswered").Str("id", id).Bool("counted", counted).Msg("")
+		}
+	}
+}
+
 // admit counts a request of a connection as outstanding. It returns false, and doesn't count
 // the request, if no further requests are to be read.
 func (h *Handler) admit(c *conn) bool {
--- a/entry/pipeline/pipeline_test.go
+++ b/entry/pipeline/pipeline_test.go
@@ -426,3 +426,19 @@
 		assert.NilError(t, <-drained)
 	})
 }
+
+// TestRequestsWithoutAnswerAreLogged checks that the log names a request that is under way when the
+// process is about to end, and one whose response can't be written.
+func TestRequestsWithoutAnswerAreLogged(t *testing.T) {
+	withHarness(t, func(t *testing.T, h *harness) {
+		h.send("GET /safe/300/a HTTP/1.1\r\nHost: desk.example\r\nX-Id: r1\r\n\r\n")
+		synctest.Wait()
+		h.handler.LogUnanswered()
+		assert.Assert(t, strings.Contains(h.logOutput.String(), `"event":"unanswered","id":"r1","counted":true`), h.logOutput.String())
+		h.caller.Close()
+		synctest.Wait()
+		h.handler.LogUnanswered()
+		assert.Assert(t, strings.Contains(h.logOutput.String(), `"event":"undelivered","id":"r1"`), h.logOutput.String())
+		assert.Equal(t, strings.Count(h.logOutput.String(), `"unanswered"`), 1)
+	})
+}
--- a/entry/platform_shutdown.go
+++ b/entry/platform_shutdown.go
@@ -43,7 +43,9 @@
 	time.Sleep(min(lameDuckTime, grace/2))
 	n.responsesDue.Store(&end)
 	if err := n.pipeline.Drain(ctx); err != nil {
-		n.logger.Warn().Str("event", "drain-incomplete").Int("outstanding", n.pipeline.Outstanding()).Err(err).Msg("")
+		n.logger.Warn().Str("event", "drain-incomplete").Int("outstanding", n.pipeline.Outstanding()).Int64("in-flight", n.gateway.InFlight()).Err(err).Msg("")
+	} else {
+		n.logger.Info().Str("event", "drained").Int("outstanding", n.pipeline.Outstanding()).Int64("in-flight", n.gateway.InFlight()).Msg("")
 	}
 	n.giveUp()
 	n.awaitAnswers(giveUpTime)
@@ -52,6 +54,7 @@
 			n.logger.Warn().Str("event", "stopped-early").Int64("in-flight", n.gateway.InFlight()).Err(err).Msg("")
 		}
 	}
+	n.pipeline.LogUnanswered()
 }
 
 // shutdownTime returns how long after SIGTERM requests may be in flight.
