entry/pipeline: don't pass on a request whose connection was closed

What callers saw: a request was passed on to a server, and its connection ended without an answer.

Cause: for the http.Server and the connection limit a connection is idle until the header of a request has been read whole. Either may close it at that moment. The request then counted as admitted, without being outstanding, and its handler passed it on.

Change: a request whose connection is closed when its handler begins is not passed on. After that moment neither the limit nor Shutdown closes the connection, as it is no longer idle.

Evidence: TestRequestOnClosedConnectionIsNotPassedOn closes the connection when the http.Server has read a request, and failed before: the request ran.

--- a/entry/pipeline/conn.go
+++ b/entry/pipeline/conn.go
@@ -328,8 +328,8 @@
 
 // begin records that the handler of the current request begins. It returns the early start
 // of the request, or nil. admitted is false if the request began after the last one that is
-// to be read.
-func (c *conn) begin(request *http.Request) (early *exchange, admitted bool) {
+// to be read. open is false if the connection was closed since the request was read.
+func (c *conn) begin(request *http.Request) (early *exchange, admitted, open bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase == phaseHeaderRead {
@@ -338,8 +338,11 @@
 	c.serving = true
 	c.handlerDone = make(chan struct{})
 	c.requestID = request.Header.Get(c.handler.RequestIDHeader)
+	if c.closed {
+		return nil, false, false
+	}
 	admitted = true
-	if !c.counted && !c.closed {
+	if !c.counted {
 		// The request began while the ends of requests weren't known.
 		admitted = c.handler.admit(c)
 		c.counted = admitted
@@ -348,7 +351,7 @@
 		c.barrier = c.phase == phaseOpaque || !allowsEarlySuccessor(request) || !c.handler.Idempotent(request)
 	}
 	c.startEarly()
-	return c.current, admitted
+	return c.current, admitted, true
 }
 
 // end records that the handler of the current request has returned.
--- a/entry/pipeline/pipeline.go
+++ b/entry/pipeline/pipeline.go
@@ -100,9 +100,11 @@
 		h.Next.ServeHTTP(writer, request)
 		return
 	}
-	early, admitted := c.begin(request)
+	early, admitted, open := c.begin(request)
 	defer c.end()
 	switch {
+	case !open:
+		panic(http.ErrAbortHandler)
 	case early != nil:
 		early.deliver(writer)
 	case !admitted:
--- a/entry/pipeline/pipeline_test.go
+++ b/entry/pipeline/pipeline_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -442,3 +443,25 @@
 		assert.Equal(t, strings.Count(h.logOutput.String(), `"unanswered"`), 1)
 	})
 }
+
+// TestRequestOnClosedConnectionIsNotPassedOn guards against requests that run although their
+// connection was closed as idle, at the end of a shutdown or by a limit, while they were being read.
+func TestRequestOnClosedConnectionIsNotPassedOn(t *testing.T) {
+	for _, request := range []string{
+		"POST /effect/10/a HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 5\r\n\r\noffer",
+		"POST /effect/10/a HTTP/1.1\r\nHost: desk.example\r\nTransfer-Encoding: chunked\r\n\r\n5\r\noffer\r\n0\r\n\r\n",
+	} {
+		withHarness(t, func(t *testing.T, h *harness) {
+			h.server.ConnState = func(conn net.Conn, state http.ConnState) {
+				if state == http.StateActive {
+					conn.Close()
+				}
+			}
+			h.send(request)
+			h.mustBeClosed(t)
+			synctest.Wait()
+			_, started := h.startOf("/effect/10/a")
+			assert.Assert(t, !started)
+		})
+	}
+}
