entry: a stop keeps to the grace period of the current settings

What callers saw: after the grace period was changed by a reload of the settings, a stop still lasted for the one with which the entry had started. A stop after 6 s had become 3 s gave up requests at 5.4 s, long after SIGKILL; after 3 s had become 6 s it gave them up at 2.55 s, while their servers were at work and before the last sixth of the grace period (LOST). Cause: serve read the settings once, when it started, and passed the grace period of then to shutdown. Change: shutdown reads the current settings. An entry in memory that serves callers on the paused clock is added to the tests; platformSite.start is split for it.

--- a/entry/memory_network_test.go
+++ b/entry/memory_network_test.go
@@ -84,6 +84,51 @@
 	return nil
 }
 
+// memoryListener is a net.Listener whose connections are opened by dial, in memory.
+type memoryListener struct {
+	conns chan net.Conn
+	done  chan struct{}
+	once  sync.Once
+}
+
+// newMemoryListener returns an open memoryListener.
+func newMemoryListener() *memoryListener {
+	return &memoryListener{
+		conns: make(chan net.Conn),
+		done:  make(chan struct{}),
+	}
+}
+
+// dial opens a connection. It fails once the listener is closed.
+func (l *memoryListener) dial() (net.Conn, error) {
+	caller, accepted := net.Pipe()
+	select {
+	case l.conns <- accepted:
+		return caller, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// Accept returns the next connection.
+func (l *memoryListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close ends Accept and dial.
+func (l *memoryListener) Close() error {
+	l.once.Do(func() { close(l.done) })
+	return nil
+}
+
+// Addr returns an address that means nothing.
+func (l *memoryListener) Addr() net.Addr { return &net.TCPAddr{} }
+
 // handlerTransport is an http.RoundTripper that calls a handler without a network.
 type handlerTransport struct {
 	handler http.Handler
--- a/entry/platform_node.go
+++ b/entry/platform_node.go
@@ -451,7 +451,7 @@
 	case <-ctx.Done():
 	case failure = <-failures:
 	}
-	n.shutdown(settings.Bounds.GracePeriod, servers)
+	n.shutdown(servers)
 	stop()
 	return failure
 }
--- a/entry/platform_shutdown.go
+++ b/entry/platform_shutdown.go
@@ -26,14 +26,15 @@
 	giveUpTime = 100 * time.Millisecond
 )
 
-// shutdown keeps accepting requests for lameDuckTime, or half of the grace period if that
-// is shorter, while callers move to other entries. From then on, requests that may not be
+// shutdown keeps accepting requests for lameDuckTime, or half of the current grace period if
+// that is shorter, while callers move to other entries. From then on, requests that may not be
 // answered before the end of the shutdown are refused. It then stops reading requests, closes
 // the listeners and waits until the requests that were read are answered, or shutdownTime is
 // over. Those that are in flight then are given up and told so: a caller whose connection just
 // ended would not know whether its request was read. servers are shut down in order, that for
 // callers first: until its end, the entry answers look-ups, with the addresses of the others.
-func (n *platformNode) shutdown(grace time.Duration, servers []*http.Server) {
+func (n *platformNode) shutdown(servers []*http.Server) {
+	grace := n.settings.Load().Bounds.GracePeriod
 	n.logger.Info().Str("event", "stopping").Int64("in-flight", n.gateway.InFlight()).Int64("grace-ms", grace.Milliseconds()).Msg("")
 	end := time.Now().Add(shutdownTime(grace))
 	ctx, cancel := context.WithDeadline(context.Background(), end)
--- a/entry/platform_site_test.go
+++ b/entry/platform_site_test.go
@@ -106,8 +106,24 @@
 	})
 }
 
-// start starts the entry with an index as a new process.
+// start starts the entry with an index as a new process, which has no listeners.
 func (s *platformSite) start(index int) {
+	n, conn := s.newNode(index)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { n.tracker.Run(ctx, conn) })
+	if len(s.servers) > 0 {
+		group.Go(func() { n.registry.Run(ctx) })
+	}
+	s.nodes[index] = n
+	s.stops[index] = func() {
+		cancel()
+		group.Wait()
+	}
+}
+
+// newNode returns the entry with an index, and the connection for its datagrams.
+func (s *platformSite) newNode(index int) (*platformNode, *datagramConn) {
 	ip := fmt.Sprintf("10.0.%d.%d", index/200, index%200+1)
 	regions := make(map[string]string)
 	for region := range s.regions {
@@ -146,18 +162,7 @@
 		}
 	}
 	n.pool.Dial = func(_ context.Context, address string) (net.Conn, error) { return s.dial(index, address) }
-	conn := s.network.open(net.JoinHostPort(ip, "7720"))
-	ctx, cancel := context.WithCancel(context.Background())
-	var group sync.WaitGroup
-	group.Go(func() { n.tracker.Run(ctx, conn) })
-	if len(s.servers) > 0 {
-		group.Go(func() { n.registry.Run(ctx) })
-	}
-	s.nodes[index] = n
-	s.stops[index] = func() {
-		cancel()
-		group.Wait()
-	}
+	return n, s.network.open(net.JoinHostPort(ip, "7720"))
 }
 
 // stopAll ends all entries.
