entry/pipeline: answer requests received behind another one in a shutdown

What callers saw: several requests sent on one connection, of which a planned stop of the entry answered only the first. The connection ended behind that answer, though the others had been read for as long as the first one ran. A caller doesn't know then whether they ran.

Cause: during a shutdown the answer to a request asked to close the connection unless a request behind it had been started early, also if one had been received that waits for its turn, which is so for all requests that may run once. And such a request counted as outstanding only when its turn came, when Drain admitted no further ones.

Change: a request counts as outstanding from its first byte, also behind another one. The answer before it doesn't ask to close, and Drain waits for it.

--- a/entry/pipeline/conn.go
+++ b/entry/pipeline/conn.go
@@ -52,6 +52,9 @@
 	early []*exchange
 	// examined is the size of the requests in early.
 	examined int
+	// nextCounted is true while the request behind the current one and those in early has been
+	// received at least in part, and counts as outstanding.
+	nextCounted bool
 	// barrier is true while the request behind those in early must wait for the responses
 	// before it.
 	barrier bool
@@ -120,11 +123,14 @@
 	if c.counted {
 		requests++
 	}
+	if c.nextCounted {
+		requests++
+	}
 	if c.current != nil {
 		abandoned = append(abandoned, c.current)
 	}
 	linger := c.closing && c.pipelined && !c.closed
-	c.early, c.counted, c.closed = nil, false, true
+	c.early, c.counted, c.nextCounted, c.closed = nil, false, false, true
 	c.mu.Unlock()
 	for _, early := range abandoned {
 		early.abandon()
@@ -169,11 +175,12 @@
 }
 
 // mayClose reports whether the caller may be asked to close the connection after the current
-// response: no request behind it was started. If so, none will be.
+// response: no request behind it was received. If so, none will be served.
 func (c *conn) mayClose() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.early) > 0 {
+	c.countNext()
+	if len(c.early) > 0 || c.nextCounted {
 		return false
 	}
 	c.closing = true
@@ -205,7 +212,8 @@
 	}
 }
 
-// fill reads from the network into pending, and starts the requests that it completes.
+// fill reads from the network into pending, starts the requests that it completes, and counts
+// the one that it begins.
 func (c *conn) fill() error {
 	buffer := readBuffers.Get().(*[readBufferBytes]byte)
 	defer readBuffers.Put(buffer)
@@ -221,6 +229,7 @@
 	defer c.mu.Unlock()
 	c.pending = append(c.pending, buffer[:count]...)
 	c.startEarly()
+	c.countNext()
 	return nil
 }
 
@@ -258,6 +267,7 @@
 			}
 		case phaseComplete:
 			if c.serving {
+				c.countNext()
 				return 0, nil
 			}
 			c.phase = phaseHeader
@@ -289,13 +299,25 @@
 		c.phase, c.serving, c.counted = phaseRest, true, true
 		return true
 	}
-	if !c.handler.admit(c) {
+	if !c.nextCounted && !c.handler.admit(c) {
 		return false
 	}
-	c.counted, c.barrier = true, false
+	c.counted, c.nextCounted, c.barrier = true, false, false
 	return true
 }
 
+// countNext counts the request behind the current one and those in early as outstanding, once
+// some of it was received. Its caller gets an answer: it may have been sent before the entry
+// began to shut down, and its connection may stay open for a long time. c.mu must be held.
+func (c *conn) countNext() {
+	sizeKnown := c.phase == phaseRest || c.phase == phaseComplete
+	if !sizeKnown || !c.serving || c.nextCounted || c.closing || c.closed || int64(len(c.pending)) <= c.left+int64(c.examined) {
+		return
+	}
+	c.handler.countNext()
+	c.nextCounted = true
+}
+
 // takeHeader appends up to count bytes of pending to the current request's header, but
 // none behind the empty line that ends it, and returns how many. c.mu must be held.
 func (c *conn) takeHeader(count int) int {
@@ -351,6 +373,7 @@
 		c.barrier = c.phase == phaseOpaque || !allowsEarlySuccessor(request) || !c.handler.Idempotent(request)
 	}
 	c.startEarly()
+	c.countNext()
 	return c.current, admitted, true
 }
 
@@ -388,6 +411,10 @@
 		if !c.handler.admitEarly() {
 			return
 		}
+		if c.nextCounted {
+			c.nextCounted = false
+			c.handler.release()
+		}
 		c.barrier = !allowsEarlySuccessor(request)
 		c.examined += size
 		c.early = append(c.early, c.handler.start(c, request, size))
--- a/entry/pipeline/pipeline.go
+++ b/entry/pipeline/pipeline.go
@@ -164,9 +164,10 @@
 	drainPollInterval = 10 * time.Millisecond
 )
 
-// Drain stops accepting connections, reads no requests but the first ones of new
-// connections, and returns when all requests that were read are answered, or with ctx. From
-// then on, Refuse answers the requests on connections that can't stop reading between two.
+// Drain stops accepting connections, reads no requests but the first ones of new connections
+// and those received behind a request in progress, and returns when all requests that were read
+// are answered, or with ctx. From then on, Refuse answers the requests on connections that
+// can't stop reading between two.
 // After it, http.Server.Shutdown closes idle connections only, whose requests, if any
 // arrive, have not been read. Without it, Shutdown drops a request that was just read.
 // Drain does all of this even if the listener can't be closed, and then returns that error.
@@ -271,6 +272,13 @@
 	return true
 }
 
+// countNext counts a request that was received behind another one as outstanding.
+func (h *Handler) countNext() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.outstanding++
+}
+
 // admitEarly counts a request as outstanding if it may be started early, and returns whether
 // it may.
 func (h *Handler) admitEarly() bool {
