entry/pipeline: refuse requests that arrive during Drain on any connection

What callers saw: a request sent on a kept connection later than about three seconds after the SIGTERM of the entry was read, and the connection ended at once without an answer. A caller doesn't know then whether the request ran, and doesn't repeat one that may run once.

Cause: only on connections on which a body in chunks was sent before, Drain had requests refused, as it couldn't stop the http.Server from reading there. Elsewhere a conn returned io.EOF in place of the request that it had just read.

Change: Drain refuses such requests with 503, as not run, on all connections.

TestDrainRefusesRequestsBehindChunks is now TestDrainRefusesLateRequests and demands the same after a body with a length. This failed before with "unexpected EOF".

--- a/entry/pipeline/conn.go
+++ b/entry/pipeline/conn.go
@@ -235,7 +235,7 @@
 
 // take moves bytes from pending to p, as many as belong to the current request. It returns
 // no bytes if pending is empty, or if the current request is being served and was returned
-// whole. If a next request is not to be read, the error is io.EOF. c.mu must be held.
+// whole. c.mu must be held.
 func (c *conn) take(p []byte) (int, error) {
 	if c.closed {
 		return 0, net.ErrClosed
@@ -244,8 +244,8 @@
 		count := min(len(p), len(c.pending))
 		switch c.phase {
 		case phaseHeader:
-			if len(c.header) == 0 && c.current == nil && !c.nextRequest() {
-				return 0, io.EOF
+			if len(c.header) == 0 && c.current == nil {
+				c.nextRequest()
 			}
 			if c.phase != phaseHeader {
 				continue
@@ -288,22 +288,19 @@
 	}
 }
 
-// nextRequest makes the request at the beginning of pending the current one. It returns
-// false if no further requests are to be read. c.mu must be held.
-func (c *conn) nextRequest() bool {
+// nextRequest makes the request at the beginning of pending the current one, and counts it as
+// outstanding if it is admitted. c.mu must be held.
+func (c *conn) nextRequest() {
 	if len(c.early) > 0 {
 		c.current = c.early[0]
 		c.early = c.early[1:]
 		c.examined -= c.current.size
 		c.left = int64(c.current.size)
 		c.phase, c.serving, c.counted = phaseRest, true, true
-		return true
-	}
-	if !c.nextCounted && !c.handler.admit(c) {
-		return false
+		return
 	}
-	c.counted, c.nextCounted, c.barrier = true, false, false
-	return true
+	c.counted = c.nextCounted || c.handler.admit(c)
+	c.nextCounted, c.barrier = false, false
 }
 
 // countNext counts the request behind the current one and those in early as outstanding, once
@@ -349,8 +346,8 @@
 }
 
 // begin records that the handler of the current request begins. It returns the early start
-// of the request, or nil. admitted is false if the request began after the last one that is
-// to be read. open is false if the connection was closed since the request was read.
+// of the request, or nil. admitted is false if the request is to be refused, and open if the
+// connection was closed since the request was read.
 func (c *conn) begin(request *http.Request) (early *exchange, admitted, open bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -365,7 +362,7 @@
 	}
 	admitted = true
 	if !c.counted {
-		// The request began while the ends of requests weren't known.
+		// The request is to be refused, or began while the ends of requests weren't known.
 		admitted = c.handler.admit(c)
 		c.counted = admitted
 	}
--- a/entry/pipeline/pipeline.go
+++ b/entry/pipeline/pipeline.go
@@ -24,8 +24,8 @@
 type Handler struct {
 	// Next serves each request.
 	Next http.Handler
-	// Refuse answers, in place of Next, a request that the http.Server has read although no
-	// further ones are to be read: on a connection on which the ends of requests aren't known.
+	// Refuse answers, in place of Next, a request that arrives although Drain admits no
+	// further ones.
 	Refuse http.Handler
 	// Idempotent reports whether a request may run at the same time as the idempotent
 	// requests before it on the same connection, and may be dropped and sent again.
@@ -49,7 +49,7 @@
 	conns map[*conn]struct{}
 	// listener is the argument of Listener, nil before.
 	listener net.Listener
-	// refusing is true from the moment when no further requests are read.
+	// refusing is true from the moment when no further requests are admitted.
 	refusing bool
 	// outstanding is the number of requests that were read at least in part, or started
 	// early, and whose response isn't complete.
@@ -164,12 +164,12 @@
 	drainPollInterval = 10 * time.Millisecond
 )
 
-// Drain stops accepting connections, reads no requests but the first ones of new connections
-// and those received behind a request in progress, and returns when all requests that were read
-// are answered, or with ctx. From then on, Refuse answers the requests on connections that
-// can't stop reading between two.
-// After it, http.Server.Shutdown closes idle connections only, whose requests, if any
-// arrive, have not been read. Without it, Shutdown drops a request that was just read.
+// Drain stops accepting connections, admits no requests but the first ones of new connections
+// and those received behind a request in progress, and returns when all admitted requests are
+// answered, or with ctx. Refuse answers the others: the caller of a request that was read and
+// whose connection just ends doesn't know that it has not run.
+// After it, http.Server.Shutdown closes idle connections only, and drops requests that have
+// not been admitted. Without it, Shutdown drops a request that was just read.
 // Drain does all of this even if the listener can't be closed, and then returns that error.
 func (h *Handler) Drain(ctx context.Context) error {
 	listenerErr := h.closeListener(ctx)
@@ -260,7 +260,7 @@
 }
 
 // admit counts a request of a connection as outstanding. It returns false, and doesn't count
-// the request, if no further requests are to be read.
+// the request, if no further requests are admitted.
 func (h *Handler) admit(c *conn) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/entry/pipeline/pipeline_test.go
+++ b/entry/pipeline/pipeline_test.go
@@ -421,41 +421,43 @@
 	}
 }
 
-// TestDrainRefusesRequestsBehindChunks checks that a request that arrives during Drain is not
-// run on a connection on which a body was sent in chunks before: Drain doesn't wait for it, and
-// the end of the process would cut it off.
-func TestDrainRefusesRequestsBehindChunks(t *testing.T) {
-	post := func(uri string) string {
-		return "POST " + uri + " HTTP/1.1\r\nHost: desk.example\r\nTransfer-Encoding: chunked\r\n\r\n5\r\noffer\r\n0\r\n\r\n"
+// TestDrainRefusesLateRequests guards against a request that arrives during Drain on an idle
+// connection and is run, although Drain doesn't wait for it and the end of the process would cut it
+// off, or whose connection just ends, so that its caller doesn't know whether it ran.
+func TestDrainRefusesLateRequests(t *testing.T) {
+	for _, body := range []string{"Transfer-Encoding: chunked\r\n\r\n5\r\noffer\r\n0\r\n\r\n", "Content-Length: 5\r\n\r\noffer"} {
+		post := func(uri string) string {
+			return "POST " + uri + " HTTP/1.1\r\nHost: desk.example\r\n" + body
+		}
+		withHarness(t, func(t *testing.T, h *harness) {
+			h.send(post("/effect/10/first"))
+			received, err := h.receive(http.MethodPost)
+			assert.NilError(t, err)
+			assert.Equal(t, received.status, http.StatusOK)
+			busy := h.dial()
+			defer busy.Close()
+			_, err = io.WriteString(busy, get("/safe/3000/busy"))
+			assert.NilError(t, err)
+			synctest.Wait()
+			h.setShuttingDown(true)
+			drained := make(chan error, 1)
+			h.group.Go(func() { drained <- h.drain(5 * time.Second) })
+			time.Sleep(time.Second)
+			h.send(post("/effect/5000/late"))
+			received, err = h.receive(http.MethodPost)
+			assert.NilError(t, err)
+			assert.Equal(t, received.status, http.StatusServiceUnavailable)
+			assert.Assert(t, received.close)
+			assert.Equal(t, received.at.Round(100*time.Millisecond), time.Second)
+			h.mustBeClosed(t)
+			_, started := h.startOf("/effect/5000/late")
+			assert.Assert(t, !started)
+			answer, err := io.ReadAll(busy)
+			assert.NilError(t, err)
+			assert.Assert(t, strings.HasPrefix(string(answer), "HTTP/1.1 200 OK"), "got %q", answer)
+			assert.NilError(t, <-drained)
+		})
 	}
-	withHarness(t, func(t *testing.T, h *harness) {
-		h.send(post("/effect/10/first"))
-		received, err := h.receive(http.MethodPost)
-		assert.NilError(t, err)
-		assert.Equal(t, received.status, http.StatusOK)
-		busy := h.dial()
-		defer busy.Close()
-		_, err = io.WriteString(busy, get("/safe/3000/busy"))
-		assert.NilError(t, err)
-		synctest.Wait()
-		h.setShuttingDown(true)
-		drained := make(chan error, 1)
-		h.group.Go(func() { drained <- h.drain(5 * time.Second) })
-		time.Sleep(time.Second)
-		h.send(post("/effect/5000/late"))
-		received, err = h.receive(http.MethodPost)
-		assert.NilError(t, err)
-		assert.Equal(t, received.status, http.StatusServiceUnavailable)
-		assert.Assert(t, received.close)
-		assert.Equal(t, received.at.Round(100*time.Millisecond), time.Second)
-		h.mustBeClosed(t)
-		_, started := h.startOf("/effect/5000/late")
-		assert.Assert(t, !started)
-		answer, err := io.ReadAll(busy)
-		assert.NilError(t, err)
-		assert.Assert(t, strings.HasPrefix(string(answer), "HTTP/1.1 200 OK"), "got %q", answer)
-		assert.NilError(t, <-drained)
-	})
 }
 
 // TestRequestsWithoutAnswerAreLogged checks that the log names a request that is under way when the
--- a/entry/platform_shutdown.go
+++ b/entry/platform_shutdown.go
@@ -28,8 +28,8 @@
 
 // shutdown keeps accepting requests for lameDuckTime, or half of the current grace period if
 // that is shorter, while callers move to other entries. From then on, requests that may not be
-// answered before the end of the shutdown are refused. It then stops reading requests, closes
-// the listeners and waits until the requests that were read are answered, or shutdownTime is
+// answered before the end of the shutdown are refused. It then closes the listeners, refuses
+// all further requests and waits until those taken before are answered, or shutdownTime is
 // over. Those that are in flight then are given up and told so: a caller whose connection just
 // ended would not know whether its request was read. servers are shut down in order, that for
 // callers first: until its end, the entry answers look-ups, with the addresses of the others.
