entry: short grace periods leave time for answers that servers have made

What callers saw: with a grace period of up to 3 s, a stop gave up a request whose server had been done before the last sixth of the grace period, while the answer was on its way: LOST. Cause: the margin before the end was 15 of 100 of the grace period, nearly the whole last sixth. At 3 s, 50 ms were left for an answer on its way; at 500 ms, 8 ms. Change: the margin leaves 100 ms of the last sixth for answers on their way, down to a margin of 5 of 100. From 4.2 s on it is 600 ms as before. Evidence: TestStopBreaksOffExcusedRequestsOnly stops an entry with grace periods from 500 ms to 30 s, with delays of SIGTERM up to 150 ms and of the link to the server up to 55 ms, while requests arrive on new, open and used connections, in chunks and with a length.

--- a/entry/platform_shutdown.go
+++ b/entry/platform_shutdown.go
@@ -16,11 +16,13 @@
 	// requests.
 	lameDuckTime = 2800 * time.Millisecond
 	// exitMargin is how long before SIGKILL, at the end of the grace period, the process
-	// stops waiting for requests in flight, since its exit takes a while on a slow VM.
-	// The platform expects no answers in the last sixth of the grace period, so the margin is
-	// at most exitMarginShare of it.
-	exitMargin      = 600 * time.Millisecond
-	exitMarginShare = 0.15
+	// stops waiting for servers, since its exit takes a while on a slow VM. The platform
+	// expects no answers of servers that are still at work in the last sixth of the grace
+	// period. The margin is shorter than that sixth by responseTime, in which the answers of
+	// servers that were done before arrive, but at least minExitMarginShare of the grace period.
+	exitMargin         = 600 * time.Millisecond
+	responseTime       = 100 * time.Millisecond
+	minExitMarginShare = 0.05
 	// giveUpTime is how long the entry then waits until the callers of these requests have got
 	// their answers.
 	giveUpTime = 100 * time.Millisecond
@@ -60,7 +62,7 @@
 
 // shutdownTime returns how long after SIGTERM requests may be in flight.
 func shutdownTime(grace time.Duration) time.Duration {
-	return grace - min(exitMargin, time.Duration(exitMarginShare*float64(grace)))
+	return grace - min(exitMargin, max(grace/6-responseTime, time.Duration(minExitMarginShare*float64(grace))))
 }
 
 // awaitAnswers waits until all requests that were read are answered, or a time has passed.
--- a/entry/platform_shutdown_test.go
+++ b/entry/platform_shutdown_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -36,8 +37,9 @@
 	// reload delivers SIGHUP, and stop SIGTERM.
 	reload chan os.Signal
 	stop   context.CancelFunc
-	// exited is closed when the entry has stopped.
+	// exited is closed when the entry has stopped, or was killed.
 	exited chan struct{}
+	exit   func()
 	group  sync.WaitGroup
 
 	mu sync.Mutex
@@ -61,15 +63,18 @@
 		arrived:  make(map[string]bool),
 		finished: make(map[string]time.Time),
 	}
+	e.exit = sync.OnceFunc(func() { close(e.exited) })
 	e.site.store.PutRow(platform.OperatorTable, platform.ConfigurationKey, []byte(`{"version":2,
 "services":[{"name":"desk","health_path":"/healthz","max_conns":3300,"cold_start":"1s","cold_per_s":500}],
 "limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout":"3s","idle_timeout":"15s"},
 "vhosts":[{"host":"desk.example","paths":[
-{"name":"book","prefix":"/book/","kind":"unsafe","timeout":"60s","goal":"50s","priority":1,"service":"desk","attempts":2}]}]}`))
+{"name":"book","prefix":"/book/","kind":"unsafe","timeout":"60s","goal":"50s","priority":1,"service":"desk","attempts":2},
+{"name":"quick","prefix":"/quick/","kind":"unsafe","timeout":"3s","goal":"1s","priority":1,"service":"desk","attempts":2}]}]}`))
 	n, peers := e.site.newNode(0)
 	n.pool.Dial = func(context.Context, string) (net.Conn, error) {
 		entryEnd, serverEnd := net.Pipe()
 		e.group.Go(func() { e.runServer(serverEnd) })
+		e.closeAtExit(entryEnd)
 		return entryEnd, nil
 	}
 	settings := *n.settings.Load()
@@ -78,7 +83,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	e.stop = stop
 	e.group.Go(func() {
-		defer close(e.exited)
+		defer e.exit()
 		assert.Check(t, n.serve(ctx, platformSockets{
 			callers: e.listener,
 			peers:   peers,
@@ -88,6 +93,14 @@
 	return e
 }
 
+// closeAtExit closes a connection when the entry exits, as the system does.
+func (e *stoppingEntry) closeAtExit(conn net.Conn) {
+	e.group.Go(func() {
+		<-e.exited
+		conn.Close()
+	})
+}
+
 // stopRequest is a request of a caller, and its end.
 type stopRequest struct {
 	id string
@@ -96,6 +109,7 @@
 	work      time.Duration
 	deadline  time.Duration
 	linkDelay time.Duration
+	chunked   bool
 	sentAt    time.Time
 	endedAt   time.Time
 	// status is the status of the response, 0 if none came or its connection ended before its
@@ -130,34 +144,57 @@
 	}
 }
 
-// send sends a request on a connection of its own and waits for its end, or that of the entry.
-// It reports whether the entry accepted the connection.
-func (e *stoppingEntry) send(request *stopRequest) bool {
+// connect opens a connection, on which a request is served if warmUp is set. It returns nil once
+// the entry accepts none.
+func (e *stoppingEntry) connect(t *testing.T, warmUp *stopRequest) *stopConn {
+	t.Helper()
 	conn, err := e.listener.dial()
 	if err != nil {
-		return false
+		return nil
 	}
-	defer conn.Close()
+	e.closeAtExit(conn)
+	opened := &stopConn{
+		Conn:   conn,
+		reader: bufio.NewReader(conn),
+	}
+	if warmUp != nil {
+		opened.send(warmUp)
+		assert.Check(t, warmUp.stamped)
+	}
+	return opened
+}
+
+// stopConn is a caller's connection.
+type stopConn struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+// send sends a request and waits for its end.
+func (c *stopConn) send(request *stopRequest) {
 	request.sentAt = time.Now()
 	defer func() { request.endedAt = time.Now() }()
-	e.group.Go(func() {
-		<-e.exited
-		conn.Close()
-	})
-	if _, err := fmt.Fprintf(conn, "POST /book/1 HTTP/1.1\r\nHost: desk.example\r\n%s: %s\r\n%s: %d\r\nWork: %s\r\nLink-Delay: %s\r\nContent-Length: 5\r\n\r\noffer",
-		platform.HeaderNames.RequestID, request.id, platform.HeaderNames.DeadlineMS, request.deadline.Milliseconds(), request.work, request.linkDelay); err != nil {
-		return true
+	body := "Content-Length: 5\r\n\r\noffer"
+	if request.chunked {
+		body = "Transfer-Encoding: chunked\r\n\r\n5\r\noffer\r\n0\r\n\r\n"
+	}
+	path := "/book/1"
+	if request.deadline < time.Minute {
+		path = "/quick/1"
+	}
+	if _, err := fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: desk.example\r\n%s: %s\r\n%s: %d\r\nWork: %s\r\nLink-Delay: %s\r\n%s",
+		path, platform.HeaderNames.RequestID, request.id, platform.HeaderNames.DeadlineMS, request.deadline.Milliseconds(), request.work, request.linkDelay, body); err != nil {
+		return
 	}
-	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	response, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
-		return true
+		return
 	}
 	if _, err := io.ReadAll(response.Body); err != nil {
-		return true
+		return
 	}
 	request.status = response.StatusCode
 	request.stamped = response.Header.Get(platform.HeaderNames.ResponseStamp) != ""
-	return true
 }
 
 // TestStopKeepsReloadedGracePeriod guards against a stop that lasts for the grace period with
@@ -197,7 +234,8 @@
 					work:     time.Minute,
 					deadline: time.Minute,
 				}
-				e.group.Go(func() { e.send(request) })
+				conn := e.connect(t, nil)
+				e.group.Go(func() { conn.send(request) })
 				time.Sleep(time.Second)
 				stoppedAt := time.Now()
 				e.stop()
@@ -211,3 +249,107 @@
 		})
 	}
 }
+
+// excusedTime is how long after SIGTERM requests may be sent that the end of the grace period cuts
+// off at work.
+const excusedTime = 3 * time.Second
+
+// lossIn describes how a request was lost in a stop; "" if it was not. Broken off are requests
+// that have reached a server and end with their connection or with a failure of the entry. That
+// is excused if their time is over, and if they were sent soon after SIGTERM and their server was
+// at work in the last sixth of the grace period.
+func (e *stoppingEntry) lossIn(request *stopRequest, stoppedAt time.Time, grace time.Duration) string {
+	e.mu.Lock()
+	arrived, finished := e.arrived[request.id], e.finished[request.id]
+	e.mu.Unlock()
+	workEnd := finished
+	if finished.IsZero() || finished.After(request.endedAt) {
+		workEnd = request.endedAt
+	}
+	excused := request.endedAt.Sub(request.sentAt) >= request.deadline ||
+		!request.sentAt.After(stoppedAt.Add(excusedTime)) && !workEnd.Before(stoppedAt.Add(grace*5/6))
+	if !arrived || request.stamped || excused && request.status != http.StatusServiceUnavailable {
+		return ""
+	}
+	return fmt.Sprintf("%s, sent %s after SIGTERM with %s left, got status %d %s after SIGTERM; the server was done %s after SIGTERM", request.id,
+		request.sentAt.Sub(stoppedAt), request.deadline, request.status, request.endedAt.Sub(stoppedAt), finished.Sub(stoppedAt))
+}
+
+// TestStopBreaksOffExcusedRequestsOnly guards against requests that the end of a stop breaks off
+// although they were sent late, or their server was done before the last sixth of the grace
+// period, for short and long grace periods, delays of SIGTERM, and delays to the server.
+func TestStopBreaksOffExcusedRequestsOnly(t *testing.T) {
+	for _, grace := range []time.Duration{
+		500 * time.Millisecond, time.Second, 1500 * time.Millisecond, 2 * time.Second, 3 * time.Second, 4 * time.Second,
+		5 * time.Second, 6 * time.Second, 8 * time.Second, 10 * time.Second, 20 * time.Second, 30 * time.Second,
+	} {
+		for _, signalDelay := range []time.Duration{0, 150 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%s-signal-delay-%s", grace, signalDelay), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { testStop(t, grace, signalDelay) })
+			})
+		}
+	}
+}
+
+// testStop stops an entry a delay after its SIGTERM, while callers send requests on connections
+// that they open then, have opened before, or have used before, and checks that none is lost.
+func testStop(t *testing.T, grace, signalDelay time.Duration) {
+	e := startStoppingEntry(t, grace)
+	random := rand.New(rand.NewPCG(1, uint64(grace)))
+	stoppedAt := time.Now().Add(2 * time.Second)
+	e.group.Go(func() {
+		time.Sleep(time.Until(stoppedAt.Add(signalDelay)))
+		e.stop()
+	})
+	var requests []*stopRequest
+	var callers sync.WaitGroup
+	for at := stoppedAt.Add(-time.Second); at.Before(stoppedAt.Add(min(grace, 6*time.Second))); at = at.Add(10 * time.Millisecond) {
+		request := &stopRequest{
+			id:        fmt.Sprintf("r%d", len(requests)),
+			work:      time.Duration(random.Int64N(int64(2 * grace))),
+			deadline:  []time.Duration{time.Second, 2 * time.Second, time.Minute}[random.IntN(3)],
+			linkDelay: []time.Duration{0, 10 * time.Millisecond, 55 * time.Millisecond}[random.IntN(3)],
+			chunked:   random.IntN(2) == 0,
+		}
+		if random.IntN(2) == 0 {
+			// The server is done just before the last sixth of the grace period.
+			request.work = max(0, stoppedAt.Add(grace*5/6).Sub(at)-request.linkDelay-time.Millisecond)
+		}
+		requests = append(requests, request)
+		connectAt, warmUp := at, (*stopRequest)(nil)
+		if random.IntN(3) > 0 {
+			connectAt = stoppedAt.Add(-time.Duration(random.Int64N(int64(2 * time.Second))))
+			if random.IntN(2) == 0 {
+				warmUp = &stopRequest{
+					id:       "before-" + request.id,
+					deadline: time.Second,
+					chunked:  request.chunked,
+				}
+			}
+		}
+		callers.Go(func() {
+			time.Sleep(time.Until(connectAt))
+			if conn := e.connect(t, warmUp); conn != nil {
+				time.Sleep(time.Until(at))
+				conn.send(request)
+				conn.Close()
+			}
+		})
+	}
+	kill := time.AfterFunc(time.Until(stoppedAt.Add(grace)), e.exit)
+	<-e.exited
+	killed := !kill.Stop()
+	callers.Wait()
+	e.group.Wait()
+	answers := make(map[string]int)
+	for _, request := range requests {
+		if loss := e.lossIn(request, stoppedAt, grace); loss != "" {
+			t.Error(loss)
+		}
+		if request.sentAt.After(stoppedAt) {
+			answers[fmt.Sprintf("%d stamped=%t late=%t", request.status, request.stamped, request.sentAt.After(stoppedAt.Add(excusedTime)))]++
+		}
+	}
+	assert.Check(t, !killed || signalDelay > 0, "the entry was killed")
+	t.Logf("killed %t: %v", killed, answers)
+}
