entry/pipeline: find the end of bodies in chunks

What callers saw: the request behind one whose body is in chunks, or any request behind another on a connection on which a body in chunks was sent before, was read in a planned stop and its connection closed without an answer, as long as 1.67 s later.

Cause: behind a body in chunks the ends of requests weren't known for the rest of the connection. The http.Server got all bytes as they came, and the conn couldn't tell that a further request had been received when the answer asked to close the connection.

Change: a conn finds the end of a body in chunks. It knows bodies without chunk extensions and trailers only, for which parsers may differ; behind these, and behind HTTP/1.0 requests, the ends remain unknown.

Evidence: TestShutdownAnswersRequestBehindAnother failed behind a body in chunks, as the first answer asked to close.

--- a/entry/pipeline/conn.go
+++ b/entry/pipeline/conn.go
@@ -36,6 +36,8 @@
 	// left is the number of bytes that Read still returns of the current request, in
 	// phaseRest.
 	left int64
+	// chunks finds the end of the current request, in phaseChunks.
+	chunks chunkScanner
 	// serving is true from the moment when Read has returned the whole header of a request
 	// until its handler returns.
 	serving bool
@@ -77,6 +79,8 @@
 	phaseHeaderRead
 	// phaseRest is the rest of the current request, whose size is known.
 	phaseRest
+	// phaseChunks is the rest of the current request, whose body is in chunks.
+	phaseChunks
 	// phaseComplete means that the whole request was returned.
 	phaseComplete
 	// phaseOpaque means that the ends of requests aren't known, for the rest of the
@@ -265,6 +269,16 @@
 			if c.left == 0 {
 				c.phase = phaseComplete
 			}
+		case phaseChunks:
+			var complete, known bool
+			count, complete, known = c.chunks.scan(c.pending[:count])
+			if !known {
+				c.phase = phaseOpaque
+				continue
+			}
+			if complete {
+				c.phase = phaseComplete
+			}
 		case phaseComplete:
 			if c.serving {
 				c.countNext()
@@ -335,6 +349,8 @@
 // setBody sets what follows the current request's header. c.mu must be held.
 func (c *conn) setBody(request *http.Request) {
 	switch {
+	case isChunked(request):
+		c.phase, c.chunks = phaseChunks, chunkScanner{}
 	case !hasKnownSize(request):
 		c.phase = phaseOpaque
 	case request.ContentLength > 0:
--- a/entry/pipeline/fuzz_test.go
+++ b/entry/pipeline/fuzz_test.go
@@ -37,6 +37,12 @@
 		get("/safe/30/a") + "GET http://other.example/safe/10/b HTTP/1.1\r\nHost: desk.example\r\n\r\n" + get("/safe/20/c"),
 		get("/safe/30/a") + "POST /safe/20/p HTTP/1.1\r\nHost: desk.example\r\nExpect: 100-continue\r\nContent-Length: 5\r\n\r\noffer" + get("/safe/20/c"),
 		get("/safe/30/a") + "POST /safe/20/p HTTP/1.1\r\nHost: desk.example\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n5\r\noffer\r\n0\r\n\r\n" + get("/safe/20/c"),
+		strings.Replace(chunked, "5\r\noffer", "1\r\no\r\n004\r\nffer", 1) + chunked + effect,
+		strings.Replace(chunked, "5\r\n", "5;name=value\r\n", 1) + get("/safe/20/c"),
+		strings.Replace(chunked, "0\r\n", "0\r\nX-Trailer: 1\r\n", 1) + get("/safe/20/c"),
+		strings.Replace(chunked, "5\r\n", "5\n", 1) + get("/safe/20/c"),
+		strings.Replace(chunked, "offer\r\n", "offer0\r\n", 1) + get("/safe/20/c"),
+		strings.Replace(chunked, "5\r\n", "-5\r\n", 1) + get("/safe/20/c"),
 		get("/safe/30/abort") + get("/safe/10/b"),
 	} {
 		for _, piece := range []uint16{0, 1, 7, 64} {
--- a/entry/pipeline/pipeline_test.go
+++ b/entry/pipeline/pipeline_test.go
@@ -298,7 +298,9 @@
 // whether it ran. Drain waits for it, whether it was received before or during the drain.
 func TestShutdownAnswersRequestBehindAnother(t *testing.T) {
 	length := "POST /effect/600/a HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 5\r\n\r\noffer"
-	for _, first := range []string{length, get("/safe/600/a")} {
+	chunked := "POST /effect/600/a HTTP/1.1\r\nHost: desk.example\r\nTransfer-Encoding: chunked\r\n\r\n" +
+		"003\r\noff\r\n2\r\ner\r\n0\r\n\r\n"
+	for _, first := range []string{length, get("/safe/600/a"), chunked} {
 		for _, sentAt := range []time.Duration{0, 50 * time.Millisecond, 300 * time.Millisecond} {
 			withHarness(t, func(t *testing.T, h *harness) {
 				h.send(first)
--- a/entry/pipeline/request.go
+++ b/entry/pipeline/request.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"slices"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -72,6 +73,11 @@
 	return request.ProtoMajor == 1 && request.ProtoMinor >= 1 && len(request.TransferEncoding) == 0 && request.ContentLength >= 0
 }
 
+// isChunked reports whether the body of a request is in chunks, and nothing else.
+func isChunked(request *http.Request) bool {
+	return request.ProtoMajor == 1 && request.ProtoMinor >= 1 && slices.Equal(request.TransferEncoding, []string{"chunked"})
+}
+
 // headerEnd returns the position behind the first empty line of a header, or 0 if there is
 // none. The first known bytes are known not to complete such a line.
 func headerEnd(header []byte, known int) int {
