gateway: a connection isn't idle while a request's header is received

Callers saw: the connection closed without an answer while they sent a request, within the header timeout but beyond the idle timeout. The http.Server reports a connection as active only once it has read the whole header. Until then ConnLimiter counted it as idle: the idle timeout, or a new connection beyond the maximum, closed it, even after the last byte of the header had been received; and the header timeout of the configuration never applied. A timer that had fired also closed a connection whose timeout was restarted meanwhile.

The pipeline reports the first bytes of a request before it passes them on, and ConnLimiter starts the header timeout then. A timer that fires closes the connection only if its timeout has really expired.

TestHeaderOutlastsIdleTimeout failed before (closed in the middle of the header).

--- a/entry/gateway/limits.go
+++ b/entry/gateway/limits.go
@@ -52,8 +52,9 @@
 // of callers' connections. A new connection beyond the maximum closes the one that has
 // been idle longest, if any is idle. Unlike the timeouts of an http.Server, which are
 // fixed, those of a ConnLimiter follow the current configuration. ConnContext and
-// ConnState must be set as hooks of the http.Server, and its handler must call
-// StopHeaderTimeout for each request.
+// ConnState must be set as hooks of the http.Server, its handler must call
+// StopHeaderTimeout for each request, and RequestBegan must be called when the first bytes
+// of a request are received: the http.Server calls ConnState only once it has read the header.
 type ConnLimiter struct {
 	// Configuration returns the newest configuration, or nil if there is none yet.
 	Configuration func() *routing.Configuration
@@ -75,6 +76,8 @@
 	// closeTimer closes the connection when its idle or header timeout expires. It is nil
 	// after a request's header was read, until the connection is idle again.
 	closeTimer *time.Timer
+	// expires is when closeTimer fires. The timer may have fired before it was restarted.
+	expires time.Time
 	// idleElement is the connection's element of ConnLimiter.idleConns. It is nil from
 	// the first byte of a request to the end of the response.
 	idleElement *list.Element
@@ -126,6 +129,10 @@
 	}
 }
 
+// RequestBegan records that bytes of a request were received on a connection, which is not idle
+// from then on, and starts its header timeout. Further calls have no effect.
+func (l *ConnLimiter) RequestBegan(conn net.Conn) { l.ConnState(conn, http.StateActive) }
+
 // add starts tracking a new connection as idle and starts its idle timeout. While there
 // are more connections than the maximum, it closes the one that has been idle longest,
 // but not the new one. l.mu must be held.
@@ -136,7 +143,7 @@
 	tracked := &callerConn{
 		conn: conn,
 	}
-	tracked.closeTimer = time.AfterFunc(idleTimeout, func() { l.closeExpired(tracked) })
+	l.setCloseTimer(tracked, idleTimeout)
 	l.conns[conn] = tracked
 	tracked.idleElement = l.idleConns.PushBack(tracked)
 	for l.MaxConns != nil && len(l.conns) > l.MaxConns() {
@@ -162,21 +169,20 @@
 }
 
 // markActive records that a request has begun on a connection and starts its
-// header timeout. l.mu must be held.
+// header timeout, unless that was done before. l.mu must be held.
 func (l *ConnLimiter) markActive(tracked *callerConn, headerTimeout time.Duration) {
-	if tracked == nil {
+	if tracked == nil || tracked.idleElement == nil {
 		return
 	}
-	if tracked.idleElement != nil {
-		l.idleConns.Remove(tracked.idleElement)
-		tracked.idleElement = nil
-	}
+	l.idleConns.Remove(tracked.idleElement)
+	tracked.idleElement = nil
 	l.setCloseTimer(tracked, headerTimeout)
 }
 
 // setCloseTimer starts or restarts the timer that closes a connection. l.mu must be
 // held.
 func (l *ConnLimiter) setCloseTimer(tracked *callerConn, timeout time.Duration) {
+	tracked.expires = time.Now().Add(timeout)
 	if tracked.closeTimer == nil {
 		tracked.closeTimer = time.AfterFunc(timeout, func() { l.closeExpired(tracked) })
 		return
@@ -218,13 +224,12 @@
 	_ = tracked.conn.Close()
 }
 
-// closeExpired closes a connection whose timer fired, unless a request's header was read
-// or the connection was closed since then. It closes the connection even if the timer
-// was restarted since then. It locks l.mu.
+// closeExpired closes a connection whose timer fired, unless the timer was stopped or restarted
+// or the connection was closed since then. It locks l.mu.
 func (l *ConnLimiter) closeExpired(tracked *callerConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if tracked.closeTimer != nil && l.conns[tracked.conn] == tracked {
+	if tracked.closeTimer != nil && l.conns[tracked.conn] == tracked && !time.Now().Before(tracked.expires) {
 		l.closeConn(tracked)
 	}
 }
--- a/entry/gateway/limits_test.go
+++ b/entry/gateway/limits_test.go
@@ -1,17 +1,22 @@
 package gateway_test
 
 import (
+	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
 
 	"github.com/teaselstack/teaselstack/entry/gateway"
+	"github.com/teaselstack/teaselstack/entry/pipeline"
 	"github.com/teaselstack/teaselstack/routing"
 )
 
@@ -130,3 +135,63 @@
 		})
 	}
 }
+
+// TestHeaderOutlastsIdleTimeout guards against connections that the idle timeout closes while a
+// request's header is received. The header timeout closes those.
+func TestHeaderOutlastsIdleTimeout(t *testing.T) {
+	for _, first := range []string{"Content-Length: 5\r\n\r\noffer", "Transfer-Encoding: chunked\r\n\r\n5\r\noffer\r\n0\r\n\r\n"} {
+		synctest.Test(t, func(t *testing.T) {
+			conf := routing.NewConfiguration(1, nil, routing.Limits{
+				HeaderTimeout: 3 * time.Second,
+				IdleTimeout:   5 * time.Second,
+			}, nil)
+			limiter := &gateway.ConnLimiter{
+				Configuration: func() *routing.Configuration { return conf },
+			}
+			handler := &pipeline.Handler{
+				Next:         http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) { io.Copy(io.Discard, request.Body) }),
+				Idempotent:   func(*http.Request) bool { return false },
+				ShuttingDown: func() bool { return false },
+				RequestBegan: limiter.RequestBegan,
+				HeaderRead:   gateway.StopHeaderTimeout,
+				Logger: &log.Logger{
+					Writer: log.IOWriter{
+						Writer: io.Discard,
+					},
+				},
+			}
+			server := &http.Server{
+				Handler:   handler,
+				ConnState: limiter.ConnState,
+				ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+					return handler.ConnContext(limiter.ConnContext(ctx, conn), conn)
+				},
+			}
+			listener := &pipeListener{
+				conns: make(chan net.Conn, 1),
+				done:  make(chan struct{}),
+			}
+			var group sync.WaitGroup
+			group.Go(func() { _ = server.Serve(handler.Listener(listener)) })
+			entryConn, callerConn := net.Pipe()
+			listener.conns <- entryConn
+			reader := bufio.NewReader(callerConn)
+			for _, rest := range []string{first, "Content-Length: 5\r\n\r\noffer"} {
+				io.WriteString(callerConn, "POST /book/1 HTTP/1.1\r\n")
+				time.Sleep(2 * time.Second)
+				io.WriteString(callerConn, "Host: desk.example\r\n"+rest)
+				response, err := http.ReadResponse(reader, nil)
+				assert.NilError(t, err)
+				assert.Equal(t, response.StatusCode, http.StatusOK)
+				time.Sleep(4 * time.Second)
+			}
+			io.WriteString(callerConn, "POST /book/1 HTTP/1.1\r\n")
+			began := time.Now()
+			_, err := reader.ReadByte()
+			assert.ErrorIs(t, err, io.EOF)
+			assert.Equal(t, time.Since(began), 3*time.Second)
+			server.Close()
+			group.Wait()
+		})
+	}
+}
--- a/entry/pipeline/conn.go
+++ b/entry/pipeline/conn.go
@@ -199,6 +199,9 @@
 		full := len(c.pending) >= maxPendingBytes
 		handlerDone := c.handlerDone
 		c.mu.Unlock()
+		if count > 0 && handlerDone == nil && c.handler.RequestBegan != nil {
+			c.handler.RequestBegan(c)
+		}
 		if count > 0 || err != nil {
 			return count, err
 		}
--- a/entry/pipeline/pipeline.go
+++ b/entry/pipeline/pipeline.go
@@ -33,6 +33,9 @@
 	// ShuttingDown reports whether each connection is to be closed after its last response.
 	// No requests are then started early.
 	ShuttingDown func() bool
+	// RequestBegan, if not nil, is called with the connection of each request whose header is
+	// being received, before the http.Server gets the first bytes, and perhaps again later.
+	RequestBegan func(conn net.Conn)
 	// HeaderRead, if not nil, is called with the context of each request that the
 	// http.Server has read.
 	HeaderRead func(ctx context.Context)
--- a/entry/platform_node.go
+++ b/entry/platform_node.go
@@ -191,6 +191,7 @@
 		Refuse:          http.HandlerFunc(n.gateway.RefuseStopping),
 		Idempotent:      n.idempotent,
 		ShuttingDown:    n.shuttingDown.Load,
+		RequestBegan:    n.limiter.RequestBegan,
 		HeaderRead:      gateway.StopHeaderTimeout,
 		RequestIDHeader: platform.HeaderNames.RequestID,
 		Logger:          logger,
