gateway: the idle timeout leaves connections with unread requests open

Callers saw: a connection reset without an answer to a request that they had sent in time. An entry that got no processor time for longer than the idle timeout of a connection closed it on its timer, before it read the request that had arrived in the meantime. Nothing was passed on.

When a timeout expires, ConnLimiter now asks the system whether bytes wait on the connection. If so, the header timeout starts instead.

TestReceivedRequestOutlastsIdleTimeout failed before.

--- a/entry/gateway/limits.go
+++ b/entry/gateway/limits.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/teaselstack/teaselstack/outcome"
@@ -111,10 +112,7 @@
 // ConnState tracks the state of a connection, starts the timeout of its new state, and
 // enforces the maximum number of connections. It is a hook for http.Server.ConnState.
 func (l *ConnLimiter) ConnState(conn net.Conn, state http.ConnState) {
-	var limits routing.Limits
-	if conf := l.Configuration(); conf != nil {
-		limits = conf.Limits
-	}
+	limits := l.limits()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch state {
@@ -129,6 +127,14 @@
 	}
 }
 
+// limits returns the limits of the newest configuration.
+func (l *ConnLimiter) limits() routing.Limits {
+	if conf := l.Configuration(); conf != nil {
+		return conf.Limits
+	}
+	return routing.Limits{}
+}
+
 // RequestBegan records that bytes of a request were received on a connection, which is not idle
 // from then on, and starts its header timeout. Further calls have no effect.
 func (l *ConnLimiter) RequestBegan(conn net.Conn) { l.ConnState(conn, http.StateActive) }
@@ -225,11 +231,43 @@
 }
 
 // closeExpired closes a connection whose timer fired, unless the timer was stopped or restarted
-// or the connection was closed since then. It locks l.mu.
+// or the connection was closed since then. If bytes of a request wait to be read, the entry is
+// late, not the caller: the header timeout starts then. closeExpired locks l.mu.
 func (l *ConnLimiter) closeExpired(tracked *callerConn) {
+	limits := l.limits()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if tracked.closeTimer != nil && l.conns[tracked.conn] == tracked && !time.Now().Before(tracked.expires) {
+	if tracked.closeTimer == nil || l.conns[tracked.conn] != tracked || time.Now().Before(tracked.expires) {
+		return
+	}
+	headerTimeout := cmp.Or(limits.HeaderTimeout, defaultHeaderTimeout)
+	switch {
+	case !hasUnread(tracked.conn):
 		l.closeConn(tracked)
+	case tracked.idleElement != nil:
+		l.markActive(tracked, headerTimeout)
+	default:
+		l.setCloseTimer(tracked, headerTimeout)
+	}
+}
+
+// hasUnread reports whether bytes were received on a connection that were not read yet. It
+// returns false for a connection that is no syscall.Conn.
+func hasUnread(conn net.Conn) bool {
+	syscallConn, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	rawConn, err := syscallConn.SyscallConn()
+	if err != nil {
+		return false
 	}
+	unread := false
+	// Unlike Read, Control doesn't wait for a read in progress.
+	err = rawConn.Control(func(fd uintptr) {
+		var buffer [1]byte
+		count, _, err := syscall.Recvfrom(int(fd), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		unread = err == nil && count > 0
+	})
+	return err == nil && unread
 }
--- a/entry/pipeline/conn.go
+++ b/entry/pipeline/conn.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -156,6 +157,14 @@
 	_, _ = io.CopyN(io.Discard, c.Conn, maxPendingBytes)
 }
 
+// SyscallConn implements syscall.Conn, if the network connection does.
+func (c *conn) SyscallConn() (syscall.RawConn, error) {
+	if conn, ok := c.Conn.(syscall.Conn); ok {
+		return conn.SyscallConn()
+	}
+	return nil, http.ErrNotSupported
+}
+
 // CloseWrite closes the sending side, if the network connection supports that. http.Server
 // calls it before it closes a connection with an unread body.
 func (c *conn) CloseWrite() error {
