entry: the end of a stop doesn't cut answers that have begun

What callers saw: an answer that its server had finished a second before the end of a stop broke off at that end, if its caller read slowly: at 5.4 s of 6 s beyond the 256 KiB that are buffered, at 5.5 s below. Large answers that a server was still sending broke off at 5.4 s too. Cause: giving up the requests in flight ended the context of each, also of those whose answer the caller was getting, which ends the read of the rest from the server. The process then left callers 100 ms, though 500 ms were left until SIGKILL. Change: a request isn't given up any more once its answer goes to the caller. Callers get their answers in half of the time from the end of the wait for servers until SIGKILL. Evidence: TestStopDeliversAnswersThatHaveBegun failed before in the four cases of answers that the caller was getting, and passes now. A small answer that comes too slowly, of which the caller has nothing yet, is still given up.

TestRequestOnClosedConnectionIsNotPassedOn set a hook of the http.Server while that began to serve: a data race of the test, which waits first now.

--- a/entry/gateway/forward.go
+++ b/entry/gateway/forward.go
@@ -434,6 +434,9 @@
 		g.refuse(w, req, refusalFor(req))
 		return
 	}
+	if req.detachEnding != nil {
+		req.detachEnding()
+	}
 	responseHeader := w.Header()
 	header.StripHopByHop(response.Header)
 	for name, values := range response.Header {
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -51,7 +51,8 @@
 	// If ResponsesDue is nil, all requests are taken.
 	ResponsesDue func() time.Time
 	// Ending ends when the requests in flight are given up because the process is about to end.
-	// Each then gets an answer that says so. It is never done if it is nil.
+	// Each whose caller has got nothing of a server's response then gets an answer that says so.
+	// It is never done if it is nil.
 	Ending  context.Context
 	Logger  *log.Logger
 	Metrics metrics.Registry
@@ -113,6 +114,8 @@
 	// fallback is the last attempt with a server's error response, nil if there is none.
 	// The caller gets that response if no later attempt yields one to forward.
 	fallback *attempt
+	// detachEnding keeps Ending from giving the request up. It is nil if Ending is.
+	detachEnding func() bool
 	// bestCandidate is the choice that placement returned with a refusal. It describes
 	// the best server at that time, see [placement.Fleet.Choose]. It is nil if placement
 	// has not refused the request.
@@ -136,7 +139,8 @@
 	ctx, cancel := context.WithDeadline(incoming.Context(), req.responseDeadline.Add(responseGrace))
 	defer cancel()
 	if g.Ending != nil {
-		defer context.AfterFunc(g.Ending, cancel)()
+		req.detachEnding = context.AfterFunc(g.Ending, cancel)
+		defer req.detachEnding()
 	}
 	if refused := g.readBody(req); refused != nil {
 		g.refuse(w, req, *refused)
--- a/entry/pipeline/pipeline_test.go
+++ b/entry/pipeline/pipeline_test.go
@@ -486,6 +486,7 @@
 		"POST /effect/10/a HTTP/1.1\r\nHost: desk.example\r\nTransfer-Encoding: chunked\r\n\r\n5\r\noffer\r\n0\r\n\r\n",
 	} {
 		withHarness(t, func(t *testing.T, h *harness) {
+			synctest.Wait()
 			h.server.ConnState = func(conn net.Conn, state http.ConnState) {
 				if state == http.StateActive {
 					conn.Close()
--- a/entry/platform_shutdown.go
+++ b/entry/platform_shutdown.go
@@ -23,22 +23,24 @@
 	exitMargin         = 600 * time.Millisecond
 	responseTime       = 100 * time.Millisecond
 	minExitMarginShare = 0.05
-	// giveUpTime is how long the entry then waits until the callers of these requests have got
-	// their answers.
-	giveUpTime = 100 * time.Millisecond
+	// deliveryShare is the part of the exit margin in which the callers still get answers that
+	// have begun, and those to the requests that were given up.
+	deliveryShare = 0.5
 )
 
 // shutdown keeps accepting requests for lameDuckTime, or half of the current grace period if
 // that is shorter, while callers move to other entries. From then on, requests that may not be
 // answered before the end of the shutdown are refused. It then closes the listeners, refuses
 // all further requests and waits until those taken before are answered, or shutdownTime is
-// over. Those that are in flight then are given up and told so: a caller whose connection just
-// ended would not know whether its request was read. servers are shut down in order, that for
-// callers first: until its end, the entry answers look-ups, with the addresses of the others.
+// over. Those that wait for a server then are given up and told so: a caller whose connection
+// just ended would not know whether its request was read. Answers that have begun are delivered
+// as long as the exit leaves time. servers are shut down in order, that for callers first: until
+// its end, the entry answers look-ups, with the addresses of the others.
 func (n *platformNode) shutdown(servers []*http.Server) {
 	grace := n.settings.Load().Bounds.GracePeriod
 	n.logger.Info().Str("event", "stopping").Int64("in-flight", n.gateway.InFlight()).Int64("grace-ms", grace.Milliseconds()).Msg("")
-	end := time.Now().Add(shutdownTime(grace))
+	began := time.Now()
+	end := began.Add(shutdownTime(grace))
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	n.shuttingDown.Store(true)
@@ -51,9 +53,11 @@
 		n.logger.Info().Str("event", "drained").Int("outstanding", n.pipeline.Outstanding()).Int64("in-flight", n.gateway.InFlight()).Msg("")
 	}
 	n.giveUp()
-	n.awaitAnswers(giveUpTime)
+	exitCtx, cancelExit := context.WithDeadline(context.Background(), began.Add(deliveryTime(grace)))
+	defer cancelExit()
+	n.awaitAnswers(exitCtx)
 	for _, server := range servers {
-		if err := server.Shutdown(ctx); err != nil {
+		if err := server.Shutdown(exitCtx); err != nil {
 			n.logger.Warn().Str("event", "stopped-early").Int64("in-flight", n.gateway.InFlight()).Err(err).Msg("")
 		}
 	}
@@ -65,10 +69,16 @@
 	return grace - min(exitMargin, max(grace/6-responseTime, time.Duration(minExitMarginShare*float64(grace))))
 }
 
-// awaitAnswers waits until all requests that were read are answered, or a time has passed.
-func (n *platformNode) awaitAnswers(timeout time.Duration) {
+// deliveryTime returns how long after SIGTERM answers may be delivered.
+func deliveryTime(grace time.Duration) time.Duration {
+	lasts := shutdownTime(grace)
+	return lasts + time.Duration(deliveryShare*float64(grace-lasts))
+}
+
+// awaitAnswers waits until all requests that were read are answered, or ctx is done.
+func (n *platformNode) awaitAnswers(ctx context.Context) {
 	const interval = 5 * time.Millisecond
-	for deadline := time.Now().Add(timeout); n.pipeline.Outstanding() > 0 && time.Now().Before(deadline); {
+	for n.pipeline.Outstanding() > 0 && ctx.Err() == nil {
 		time.Sleep(interval)
 	}
 }
--- a/entry/platform_shutdown_test.go
+++ b/entry/platform_shutdown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -43,8 +44,9 @@
 	group  sync.WaitGroup
 
 	mu sync.Mutex
-	// arrived holds the requests that reached the server, and finished when it was done with
-	// them.
+	// sent holds the requests of callers. arrived holds those that reached the server, and
+	// finished when it was done with them.
+	sent     map[string]*stopRequest
 	arrived  map[string]bool
 	finished map[string]time.Time
 }
@@ -60,6 +62,7 @@
 		listener: newMemoryListener(),
 		reload:   make(chan os.Signal),
 		exited:   make(chan struct{}),
+		sent:     make(map[string]*stopRequest),
 		arrived:  make(map[string]bool),
 		finished: make(map[string]time.Time),
 	}
@@ -110,8 +113,15 @@
 	deadline  time.Duration
 	linkDelay time.Duration
 	chunked   bool
-	sentAt    time.Time
-	endedAt   time.Time
+	// answerBytes is the size of the response's body, answerTime how long the server takes to
+	// write it, and readTime how long the caller takes to read it. If endless is set, it ends with
+	// the server's connection.
+	answerBytes int
+	answerTime  time.Duration
+	readTime    time.Duration
+	endless     bool
+	sentAt      time.Time
+	endedAt     time.Time
 	// status is the status of the response, 0 if none came or its connection ended before its
 	// body did. stamped is set if it came from the server.
 	status  int
@@ -127,23 +137,42 @@
 			return
 		}
 		id := request.Header.Get(platform.HeaderNames.RequestID)
-		work, _ := time.ParseDuration(request.Header.Get("Work"))
-		linkDelay, _ := time.ParseDuration(request.Header.Get("Link-Delay"))
 		e.mu.Lock()
+		sent := e.sent[id]
 		e.arrived[id] = true
 		e.mu.Unlock()
-		time.Sleep(linkDelay + work)
+		time.Sleep(sent.linkDelay + sent.work)
 		e.mu.Lock()
 		e.finished[id] = time.Now()
 		e.mu.Unlock()
-		time.Sleep(linkDelay)
-		if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: i-0\r\nContent-Length: 5\r\n\r\nwhole",
-			platform.HeaderNames.RequestID, id, platform.HeaderNames.ResponseStamp); err != nil {
+		time.Sleep(sent.linkDelay)
+		if writeAnswer(conn, sent) != nil || sent.endless {
 			return
 		}
 	}
 }
 
+// writeAnswer writes the response to a request.
+func writeAnswer(conn net.Conn, request *stopRequest) error {
+	length := fmt.Sprintf("Content-Length: %d\r\n", request.answerBytes)
+	if request.endless {
+		length = "Connection: close\r\n"
+	}
+	if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: i-0\r\n%s\r\n",
+		platform.HeaderNames.RequestID, request.id, platform.HeaderNames.ResponseStamp, length); err != nil {
+		return err
+	}
+	piece := make([]byte, max(1, request.answerBytes/100))
+	for left := request.answerBytes; left > 0; left -= len(piece) {
+		piece = piece[:min(left, len(piece))]
+		time.Sleep(time.Duration(len(piece)) * request.answerTime / time.Duration(request.answerBytes))
+		if _, err := conn.Write(piece); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // connect opens a connection, on which a request is served if warmUp is set. It returns nil once
 // the entry accepts none.
 func (e *stoppingEntry) connect(t *testing.T, warmUp *stopRequest) *stopConn {
@@ -155,6 +184,7 @@
 	e.closeAtExit(conn)
 	opened := &stopConn{
 		Conn:   conn,
+		entry:  e,
 		reader: bufio.NewReader(conn),
 	}
 	if warmUp != nil {
@@ -167,11 +197,15 @@
 // stopConn is a caller's connection.
 type stopConn struct {
 	net.Conn
+	entry  *stoppingEntry
 	reader *bufio.Reader
 }
 
 // send sends a request and waits for its end.
 func (c *stopConn) send(request *stopRequest) {
+	c.entry.mu.Lock()
+	c.entry.sent[request.id] = request
+	c.entry.mu.Unlock()
 	request.sentAt = time.Now()
 	defer func() { request.endedAt = time.Now() }()
 	body := "Content-Length: 5\r\n\r\noffer"
@@ -182,21 +216,35 @@
 	if request.deadline < time.Minute {
 		path = "/quick/1"
 	}
-	if _, err := fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: desk.example\r\n%s: %s\r\n%s: %d\r\nWork: %s\r\nLink-Delay: %s\r\n%s",
-		path, platform.HeaderNames.RequestID, request.id, platform.HeaderNames.DeadlineMS, request.deadline.Milliseconds(), request.work, request.linkDelay, body); err != nil {
+	if _, err := fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: desk.example\r\n%s: %s\r\n%s: %d\r\n%s",
+		path, platform.HeaderNames.RequestID, request.id, platform.HeaderNames.DeadlineMS, request.deadline.Milliseconds(), body); err != nil {
 		return
 	}
 	response, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
 		return
 	}
-	if _, err := io.ReadAll(response.Body); err != nil {
+	if request.read(response.Body) != nil {
 		return
 	}
 	request.status = response.StatusCode
 	request.stamped = response.Header.Get(platform.HeaderNames.ResponseStamp) != ""
 }
 
+// read reads a body, at a rate at which one of answerBytes takes readTime.
+func (r *stopRequest) read(body io.Reader) error {
+	for buffer := make([]byte, 16<<10); ; {
+		count, err := body.Read(buffer)
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		time.Sleep(time.Duration(count) * r.readTime / time.Duration(max(1, r.answerBytes)))
+	}
+}
+
 // TestStopKeepsReloadedGracePeriod guards against a stop that lasts for the grace period with
 // which the entry started, though its settings have changed since: a longer one is ended by
 // SIGKILL, and a shorter one cuts off requests too early.
@@ -353,3 +401,76 @@
 	assert.Check(t, !killed || signalDelay > 0, "the entry was killed")
 	t.Logf("killed %t: %v", killed, answers)
 }
+
+// TestStopDeliversAnswersThatHaveBegun guards against answers that the end of a stop cuts while
+// their callers read them, although there is time left until the end of the grace period.
+func TestStopDeliversAnswersThatHaveBegun(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// want is the status, 200 if it is 0.
+		want    int
+		request stopRequest
+	}{
+		{
+			name: "slow-caller",
+			request: stopRequest{
+				work:        4500 * time.Millisecond,
+				answerBytes: 200 << 10,
+				readTime:    1100 * time.Millisecond,
+			},
+		},
+		{
+			name: "slow-caller-of-large-body",
+			request: stopRequest{
+				work:        4500 * time.Millisecond,
+				answerBytes: 1 << 20,
+				readTime:    1100 * time.Millisecond,
+			},
+		},
+		{
+			name: "slow-caller-of-large-body-without-length",
+			request: stopRequest{
+				work:        4500 * time.Millisecond,
+				answerBytes: 1 << 20,
+				readTime:    1100 * time.Millisecond,
+				endless:     true,
+			},
+		},
+		{
+			name: "slow-server-of-large-body",
+			request: stopRequest{
+				work:        4500 * time.Millisecond,
+				answerBytes: 1 << 20,
+				answerTime:  1100 * time.Millisecond,
+			},
+		},
+		{
+			// Nothing of it has reached the caller.
+			name: "slow-server-of-small-body",
+			want: http.StatusBadGateway,
+			request: stopRequest{
+				work:        4500 * time.Millisecond,
+				answerBytes: 1 << 10,
+				answerTime:  1300 * time.Millisecond,
+			},
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const grace = 6 * time.Second
+				e := startStoppingEntry(t, grace)
+				request := &test.request
+				request.id, request.deadline = "r1", time.Minute
+				conn := e.connect(t, nil)
+				stoppedAt := time.Now()
+				e.stop()
+				e.group.Go(func() { conn.send(request) })
+				<-e.exited
+				took := time.Since(stoppedAt)
+				e.group.Wait()
+				assert.Assert(t, took < grace)
+				assert.Equal(t, request.status, cmp.Or(test.want, http.StatusOK), "ended %s after SIGTERM", request.endedAt.Sub(stoppedAt))
+			})
+		})
+	}
+}
