pipeline: a request is outstanding until its response is written

What callers saw: at the end of a stop, the process could end before an answer that its handler had made was written to the connection, so that the connection ended without an answer or without its last few kilobytes. Cause: Outstanding left a request out once its handler had returned, but the http.Server writes what is left of a response in its buffer after that: all of a small one. http.Server.Shutdown waits for it, but not once the time for requests is over, when it returned at once. Change: a request counts until the http.Server says that its connection is idle, or until the connection is closed. 'unanswered' names these requests too. Evidence: TestDrainWaitsUntilAnswersAreDelivered failed before, on kept connections and on those that are closed: Drain returned after 100 ms while the caller read the response after a second. It passes now, and so do the tests of pipeline, under the race detector too.

--- a/entry/pipeline/conn.go
+++ b/entry/pipeline/conn.go
@@ -42,8 +42,11 @@
 	// serving is true from the moment when Read has returned the whole header of a request
 	// until its handler returns.
 	serving bool
-	// counted is true while the current request counts as outstanding.
-	counted bool
+	// counted is true while the current request counts as outstanding, until its handler
+	// returns. From then on, undelivered counts it, until the http.Server has written its
+	// response.
+	counted     bool
+	undelivered int
 	// handlerDone is closed when the handler of the current request returns. It is nil
 	// while no handler runs.
 	handlerDone chan struct{}
@@ -124,7 +127,7 @@
 	c.cancel()
 	c.mu.Lock()
 	abandoned := c.early
-	requests := len(c.early)
+	requests := len(c.early) + c.undelivered
 	if c.counted {
 		requests++
 	}
@@ -135,7 +138,7 @@
 		abandoned = append(abandoned, c.current)
 	}
 	linger := c.closing && c.pipelined && !c.closed
-	c.early, c.counted, c.nextCounted, c.closed = nil, false, false, true
+	c.early, c.counted, c.nextCounted, c.undelivered, c.closed = nil, false, false, 0, true
 	c.mu.Unlock()
 	for _, early := range abandoned {
 		early.abandon()
@@ -407,12 +410,20 @@
 	c.mu.Lock()
 	close(c.handlerDone)
 	c.handlerDone, c.current, c.serving = nil, nil, false
-	counted := c.counted
-	c.counted = false
-	c.mu.Unlock()
-	if counted {
-		c.handler.release()
+	if c.counted {
+		c.counted = false
+		c.undelivered++
 	}
+	c.mu.Unlock()
+}
+
+// delivered records that the http.Server has written the response to the current request.
+func (c *conn) delivered() {
+	c.mu.Lock()
+	count := c.undelivered
+	c.undelivered = 0
+	c.mu.Unlock()
+	c.handler.release(count)
 }
 
 // startEarly starts the complete requests in pending that may run before the responses to
@@ -438,7 +449,7 @@
 		}
 		if c.nextCounted {
 			c.nextCounted = false
-			c.handler.release()
+			c.handler.release(1)
 		}
 		c.barrier = !allowsEarlySuccessor(request)
 		c.examined += size
--- a/entry/pipeline/harness_test.go
+++ b/entry/pipeline/harness_test.go
@@ -143,6 +143,7 @@
 	h.server = &http.Server{
 		Handler:     h.handler,
 		ConnContext: h.handler.ConnContext,
+		ConnState:   h.handler.ConnState,
 		ErrorLog:    stdlog.New(io.Discard, "", 0),
 	}
 	listener := net.Listener(h.listener)
@@ -151,6 +152,7 @@
 	} else {
 		h.server.Handler = http.HandlerFunc(h.serve)
 		h.server.ConnContext = nil
+		h.server.ConnState = nil
 	}
 	h.group.Go(func() { _ = h.server.Serve(listener) })
 	h.caller = h.dial()
--- a/entry/pipeline/pipeline.go
+++ b/entry/pipeline/pipeline.go
@@ -20,7 +20,7 @@
 )
 
 // Handler is the http.Handler of an http.Server whose connections come from Listener and
-// whose ConnContext hook is ConnContext.
+// whose hooks ConnContext and ConnState are those of the Handler.
 type Handler struct {
 	// Next serves each request.
 	Next http.Handler
@@ -87,6 +87,15 @@
 	return context.WithValue(ctx, connKey{}, connection)
 }
 
+// ConnState notes that the response to a request has been written. It is a hook for
+// http.Server.ConnState. The http.Server writes the end of a response after the handler has
+// returned.
+func (h *Handler) ConnState(connection net.Conn, state http.ConnState) {
+	if c, ok := connection.(*conn); ok && state == http.StateIdle {
+		c.delivered()
+	}
+}
+
 // ServeHTTP implements http.Handler. It panics with http.ErrAbortHandler, which closes the
 // caller's connection, if Next does.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, request *http.Request) {
@@ -246,17 +255,18 @@
 	return h.outstanding
 }
 
-// LogUnanswered logs the requests whose handlers run, just before the process ends and cuts them
-// off.
+// LogUnanswered logs the requests whose responses aren't complete, just before the process ends
+// and cuts them off.
 func (h *Handler) LogUnanswered() {
 	h.mu.Lock()
 	conns := slices.Collect(maps.Keys(h.conns))
 	h.mu.Unlock()
 	for _, c := range conns {
 		c.mu.Lock()
-		id, running, counted := c.requestID, c.handlerDone != nil, c.counted
+		id, counted := c.requestID, c.counted || c.undelivered > 0
+		unanswered := c.handlerDone != nil || c.undelivered > 0
 		c.mu.Unlock()
-		if running {
+		if unanswered {
 			h.Logger.Warn().Str("event", "unanswered").Str("id", id).Bool("counted", counted).Msg("")
 		}
 	}
@@ -295,11 +305,11 @@
 	return true
 }
 
-// release subtracts a request from the outstanding ones.
-func (h *Handler) release() {
+// release subtracts requests from the outstanding ones.
+func (h *Handler) release(count int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.outstanding--
+	h.outstanding -= count
 }
 
 // forget removes a connection that is closed, and subtracts its outstanding requests.
--- a/entry/pipeline/pipeline_test.go
+++ b/entry/pipeline/pipeline_test.go
@@ -391,6 +391,27 @@
 	})
 }
 
+// TestDrainWaitsUntilAnswersAreDelivered guards against a process that ends while the http.Server
+// still writes the end of a response, after its handler has returned.
+func TestDrainWaitsUntilAnswersAreDelivered(t *testing.T) {
+	for _, closing := range []bool{false, true} {
+		t.Run(fmt.Sprintf("closing-%t", closing), func(t *testing.T) {
+			withHarness(t, func(t *testing.T, h *harness) {
+				h.setShuttingDown(closing)
+				h.send(get("/effect/10/x"))
+				time.Sleep(50 * time.Millisecond)
+				began := time.Now()
+				h.group.Go(func() {
+					time.Sleep(time.Second)
+					h.mustReceive(t, "/effect/10/x")
+				})
+				assert.Check(t, h.drain(5*time.Second))
+				assert.Check(t, time.Since(began) >= time.Second, "drained after %s", time.Since(began))
+			})
+		})
+	}
+}
+
 // TestDrainWithListenerThatIsClosedAlready checks that Drain reads no further requests and waits
 // for those that were read although the http.Server has closed the listener before: at the
 // deadline that Drain sets for the last connections, or because it failed.
--- a/entry/platform_node.go
+++ b/entry/platform_node.go
@@ -405,8 +405,11 @@
 	group.Go(func() { n.closeStaleConns(background) })
 	group.Go(func() { n.watchSettings(background, reloadSignals) })
 	callerServer := &http.Server{
-		Handler:   n.pipeline,
-		ConnState: n.limiter.ConnState,
+		Handler: n.pipeline,
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			n.limiter.ConnState(conn, state)
+			n.pipeline.ConnState(conn, state)
+		},
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
 			return n.pipeline.ConnContext(n.limiter.ConnContext(ctx, conn), conn)
 		},
