pipeline: closed connections take what callers still send

What callers saw: a caller that sent its next request before it had read all of an answer lost the rest of that answer, if the entry had closed the connection behind it in a stop: the connection was reset (LOST, for a request that had been passed on). Cause: the system resets a closed connection on which bytes arrive, and drops what it has not delivered yet. Close therefore waits for the caller to close its side, but only did so if the caller had sent something while its request was served, not if it does after the answer. Change: Close waits, for half a second at most, on each connection that a response asked to close.

--- a/entry/pipeline/conn.go
+++ b/entry/pipeline/conn.go
@@ -64,8 +64,6 @@
 	// barrier is true while the request behind those in early must wait for the responses
 	// before it.
 	barrier bool
-	// pipelined is true if bytes were ever received while a request was served.
-	pipelined bool
 	// closing is true once a response has asked the caller to close the connection.
 	closing bool
 	// closed is true once Close was called.
@@ -95,9 +93,9 @@
 const (
 	// readBufferBytes is the size of the buffers into which is read from the network.
 	readBufferBytes = 4 << 10
-	// lingerTime is how long Close waits for the caller to close its side, if the caller
-	// pipelines and was asked to close. Closing the connection while further requests
-	// arrive would reset it, and the reset could overtake the last response.
+	// lingerTime is how long Close waits for the caller to close its side, if the caller was
+	// asked to. A further request that arrives after the connection was closed would reset it,
+	// and the system would drop what the caller hasn't yet received of the last response.
 	lingerTime = 500 * time.Millisecond
 )
 
@@ -137,7 +135,7 @@
 	if c.current != nil {
 		abandoned = append(abandoned, c.current)
 	}
-	linger := c.closing && c.pipelined && !c.closed
+	linger := c.closing && !c.closed
 	c.early, c.counted, c.nextCounted, c.undelivered, c.closed = nil, false, false, 0, true
 	c.mu.Unlock()
 	for _, early := range abandoned {
@@ -432,9 +430,6 @@
 	if c.phase == phaseOpaque || c.handlerDone == nil || c.closed {
 		return
 	}
-	if len(c.pending) > 0 && c.phase == phaseComplete {
-		c.pipelined = true
-	}
 	for c.phase == phaseComplete && !c.barrier && !c.closing && len(c.early) < maxEarly && len(c.pending) > c.examined {
 		request, size, complete := parseRequest(c.pending[c.examined:])
 		if !complete {
--- a/entry/pipeline/pipeline_test.go
+++ b/entry/pipeline/pipeline_test.go
@@ -6,11 +6,16 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
+
+	"github.com/teaselstack/teaselstack/entry/pipeline"
 )
 
 // TestPipelinedRequestsRunConcurrently checks that idempotent requests sent together, or
@@ -521,3 +526,58 @@
 		})
 	}
 }
+
+// TestNextRequestDoesNotResetAnswer guards against an answer that the system drops, because the
+// caller sends its next request before it has read all of the answer, on a connection that the
+// entry has closed behind it.
+func TestNextRequestDoesNotResetAnswer(t *testing.T) {
+	const answerBytes, receiveBytes = 200 << 10, 4 << 10
+	logger := &log.Logger{
+		Writer: log.IOWriter{
+			Writer: io.Discard,
+		},
+	}
+	handler := &pipeline.Handler{
+		Next:         http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, answerBytes)) }),
+		Idempotent:   func(*http.Request) bool { return false },
+		ShuttingDown: func() bool { return true },
+		Logger:       logger,
+	}
+	closed := make(chan struct{})
+	server := &http.Server{
+		Handler:     handler,
+		ConnContext: handler.ConnContext,
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			handler.ConnState(conn, state)
+			if state == http.StateClosed {
+				close(closed)
+			}
+		},
+	}
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	var group sync.WaitGroup
+	group.Go(func() { _ = server.Serve(handler.Listener(listener)) })
+	defer group.Wait()
+	defer server.Close()
+	dialer := net.Dialer{
+		Control: func(_, _ string, conn syscall.RawConn) error {
+			// The system can't deliver all of the answer before the caller reads.
+			return conn.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBytes) })
+		},
+	}
+	caller, err := dialer.DialContext(t.Context(), "tcp4", listener.Addr().String())
+	assert.NilError(t, err)
+	defer caller.Close()
+	_, err = io.WriteString(caller, get("/effect/0/a"))
+	assert.NilError(t, err)
+	select {
+	case <-closed:
+	case <-time.After(200 * time.Millisecond):
+	}
+	_, err = io.WriteString(caller, get("/effect/0/b"))
+	assert.NilError(t, err)
+	answer, err := io.ReadAll(caller)
+	assert.NilError(t, err)
+	assert.Assert(t, len(answer) > answerBytes, "%d bytes", len(answer))
+}
