pipeline: undelivered doesn't name a request that was answered

The log said undelivered with the ID of the request before, although that was answered: the connection ended in the middle of the next request's header, and the http.Server could not write its refusal. The ID is now forgotten when the next request begins.

TestBrokenHeaderIsNotLoggedAsTheRequestBefore failed before.

--- a/entry/pipeline/conn.go
+++ b/entry/pipeline/conn.go
@@ -52,7 +52,7 @@
 	handlerDone chan struct{}
 	// current is the early start of the current request, nil if it was not started early.
 	current *exchange
-	// requestID is the ID of the current request, or of the last one.
+	// requestID is the ID of the current request, or of the last one until the next one begins.
 	requestID string
 	// early holds the early starts of the requests at the beginning of pending, in order.
 	early []*exchange
@@ -327,7 +327,7 @@
 		return
 	}
 	c.counted = c.nextCounted || c.handler.admit(c)
-	c.nextCounted, c.barrier = false, false
+	c.nextCounted, c.barrier, c.requestID = false, false, ""
 }
 
 // countNext counts the request behind the current one and those in early as outstanding, once
--- a/entry/pipeline/pipeline_test.go
+++ b/entry/pipeline/pipeline_test.go
@@ -563,7 +563,9 @@
 	dialer := net.Dialer{
 		Control: func(_, _ string, conn syscall.RawConn) error {
 			// The system can't deliver all of the answer before the caller reads.
-			return conn.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBytes) })
+			return conn.Control(func(fd uintptr) {
+				_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBytes)
+			})
 		},
 	}
 	caller, err := dialer.DialContext(t.Context(), "tcp4", listener.Addr().String())
@@ -581,3 +583,18 @@
 	assert.NilError(t, err)
 	assert.Assert(t, len(answer) > answerBytes, "%d bytes", len(answer))
 }
+
+// TestBrokenHeaderIsNotLoggedAsTheRequestBefore guards against the log naming a request that was
+// answered as undelivered, when the connection ends in the middle of the next request's header.
+func TestBrokenHeaderIsNotLoggedAsTheRequestBefore(t *testing.T) {
+	withHarness(t, func(t *testing.T, h *harness) {
+		h.send(get("/safe/10/a"))
+		h.mustReceive(t, "/safe/10/a")
+		h.send("GET /safe/10/b HTTP/1.1\r\n")
+		synctest.Wait()
+		h.caller.Close()
+		synctest.Wait()
+		assert.Assert(t, strings.Contains(h.logOutput.String(), `"event":"undelivered","id":""`), h.logOutput.String())
+		assert.Assert(t, !strings.Contains(h.logOutput.String(), "/safe/10/a"), h.logOutput.String())
+	})
+}
