pipeline: a listener that is closed twice is no early stop

The log said stopped-early with in-flight 0 and "use of closed network connection" after a stop that was complete: the http.Server closes the listener again that Drain has closed, unless it has noticed that before. Such an error is now left out.

TestListenerMayBeClosedTwice failed before.

--- a/entry/pipeline/pipeline.go
+++ b/entry/pipeline/pipeline.go
@@ -164,6 +164,14 @@
 	return l.handler.newConn(accepted), nil
 }
 
+// Close closes the listener. The http.Server may close one that Drain has closed.
+func (l *connListener) Close() error {
+	if err := l.Listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
+}
+
 const (
 	// acceptTime is how long Drain goes on accepting the connections that the system has
 	// established already. Closing the listener would reset those.
--- a/entry/pipeline/pipeline_test.go
+++ b/entry/pipeline/pipeline_test.go
@@ -598,3 +598,12 @@
 		assert.Assert(t, !strings.Contains(h.logOutput.String(), "/safe/10/a"), h.logOutput.String())
 	})
 }
+
+// TestListenerMayBeClosedTwice guards against a stop that is logged as early because the
+// http.Server closes the listener after Drain.
+func TestListenerMayBeClosedTwice(t *testing.T) {
+	listener := (&pipeline.Handler{}).Listener(newPipeListener())
+	for range 2 {
+		assert.NilError(t, listener.Close())
+	}
+}
