entry: a stop waits for requests that the pipeline doesn't count

Any way by which a request comes to the gateway uncounted became a loss, sooner than without giving up. Change: requests are given up once the gateway has none in flight either, or at the end. Evidence: TestStopAwaitsUncountedRequests failed before: 502 in place of the server's answer.

--- a/entry/platform_shutdown.go
+++ b/entry/platform_shutdown.go
@@ -52,10 +52,12 @@
 	} else {
 		n.logger.Info().Str("event", "drained").Int("outstanding", n.pipeline.Outstanding()).Int64("in-flight", n.gateway.InFlight()).Msg("")
 	}
+	// A request that the pipeline doesn't count must not be given up before the others either.
+	awaitZero(ctx, n.gateway.InFlight)
 	n.giveUp()
 	exitCtx, cancelExit := context.WithDeadline(context.Background(), began.Add(deliveryTime(grace)))
 	defer cancelExit()
-	n.awaitAnswers(exitCtx)
+	awaitZero(exitCtx, func() int64 { return int64(n.pipeline.Outstanding()) })
 	for _, server := range servers {
 		if err := server.Shutdown(exitCtx); err != nil {
 			n.logger.Warn().Str("event", "stopped-early").Int64("in-flight", n.gateway.InFlight()).Err(err).Msg("")
@@ -75,10 +77,10 @@
 	return lasts + time.Duration(deliveryShare*float64(grace-lasts))
 }
 
-// awaitAnswers waits until all requests that were read are answered, or ctx is done.
-func (n *platformNode) awaitAnswers(ctx context.Context) {
+// awaitZero waits until count returns 0, or ctx is done.
+func awaitZero(ctx context.Context, count func() int64) {
 	const interval = 5 * time.Millisecond
-	for n.pipeline.Outstanding() > 0 && ctx.Err() == nil {
+	for count() > 0 && ctx.Err() == nil {
 		time.Sleep(interval)
 	}
 }
--- a/entry/platform_shutdown_test.go
+++ b/entry/platform_shutdown_test.go
@@ -9,8 +9,10 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -34,6 +36,7 @@
 // stoppingEntry is an entry that serves callers and is stopped, and a server, all in memory.
 type stoppingEntry struct {
 	site     *platformSite
+	node     *platformNode
 	listener *memoryListener
 	// reload delivers SIGHUP, and stop SIGTERM.
 	reload chan os.Signal
@@ -74,6 +77,7 @@
 {"name":"book","prefix":"/book/","kind":"unsafe","timeout":"60s","goal":"50s","priority":1,"service":"desk","attempts":2},
 {"name":"quick","prefix":"/quick/","kind":"unsafe","timeout":"3s","goal":"1s","priority":1,"service":"desk","attempts":2}]}]}`))
 	n, peers := e.site.newNode(0)
+	e.node = n
 	n.pool.Dial = func(context.Context, string) (net.Conn, error) {
 		entryEnd, serverEnd := net.Pipe()
 		e.group.Go(func() { e.runServer(serverEnd) })
@@ -474,3 +478,23 @@
 		})
 	}
 }
+
+// TestStopAwaitsUncountedRequests guards against a stop that gives up, long before its end, a
+// request that the pipeline doesn't count: one that came to the gateway without it.
+func TestStopAwaitsUncountedRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := startStoppingEntry(t, 6*time.Second)
+		e.sent["r1"] = &stopRequest{
+			id:   "r1",
+			work: 4500 * time.Millisecond,
+		}
+		incoming := httptest.NewRequest(http.MethodPost, "http://desk.example/book/1", strings.NewReader("offer"))
+		incoming.Header.Set(platform.HeaderNames.RequestID, "r1")
+		e.stop()
+		response := httptest.NewRecorder()
+		e.node.gateway.ServeHTTP(response, incoming)
+		<-e.exited
+		e.group.Wait()
+		assert.Equal(t, response.Code, http.StatusOK)
+	})
+}
