entry: a quarantined request is tried once more

Cause: three servers that are lost together count as three crashes of a request that all of them ran. Only a success ends a quarantine, and a quarantined request is never sent. Change: ten seconds after the last failure, the next such request is sent to one server, as a trial. Telling lost servers from crashed ones was ruled out: all servers of the domain may have run the request.

--- a/entry/gateway/forward.go
+++ b/entry/gateway/forward.go
@@ -60,6 +60,10 @@
 	req.callerRetry = g.isCallerRetry(req)
 	req.failureReason = outcome.ReasonNoRoom
 	defer req.discardFallback()
+	if g.BeginTrial != nil && g.BeginTrial(ctx, req.digest) {
+		req.trial = true
+		defer func() { g.EndTrial(req.digest, req.sentAttempts, req.mayHaveRun) }()
+	}
 	for retry := true; retry; {
 		if reason := g.stopReason(ctx, req); reason != "" {
 			req.failureReason = reason
@@ -81,7 +85,7 @@
 // stopReason returns why no further attempt may be made, or "" if one may.
 func (g *Gateway) stopReason(ctx context.Context, req *proxyRequest) outcome.Reason {
 	switch {
-	case g.Quarantine.Quarantined(req.digest):
+	case !req.trial && g.Quarantine.Quarantined(req.digest):
 		return outcome.ReasonQuarantined
 	case time.Until(req.responseDeadline) < minTimeToSend || ctx.Err() != nil:
 		return g.endReason(req)
@@ -392,7 +396,8 @@
 // the retry from the budget.
 func (g *Gateway) mayRetry(req *proxyRequest, result *attempt) bool {
 	switch {
-	case req.sentAttempts >= req.route.MaxAttempts,
+	case req.trial,
+		req.sentAttempts >= req.route.MaxAttempts,
 		result.mayHaveRun && !req.idempotent(),
 		!req.body.replayable(),
 		result.reason == outcome.ReasonDeadline,
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -43,6 +43,11 @@
 	RetryBudget *RetryBudget
 	// Quarantine holds the requests that are suspected of crashing servers.
 	Quarantine *quarantine.List
+	// BeginTrial reports whether a quarantined request may run all the same, at one server.
+	// EndTrial is called when the request has ended, with the number of servers that it was sent
+	// to, and whether one of them may have run it. Without BeginTrial, none may.
+	BeginTrial func(ctx context.Context, digest quarantine.Digest) bool
+	EndTrial   func(digest quarantine.Digest, sends int, mayHaveRun bool)
 	// RegistrationsAge returns the time since the servers' registrations were last read
 	// from the store. known is false if they were never read.
 	RegistrationsAge func() (age time.Duration, known bool)
@@ -85,7 +90,9 @@
 	// objectHash identifies the object that the request concerns, for placement.
 	objectHash uint64
 	// digest identifies the request for the quarantine.
-	digest  quarantine.Digest
+	digest quarantine.Digest
+	// trial reports whether the request runs although it is quarantined, see BeginTrial.
+	trial   bool
 	arrival time.Time
 	// callerDeadline is when the caller stops waiting. responseDeadline is when the
 	// response is due: at callerDeadline, or earlier if the route's timeout expires
--- a/entry/platform_node.go
+++ b/entry/platform_node.go
@@ -53,6 +53,8 @@
 	limiter *gateway.ConnLimiter
 	// suspects holds the requests that may crash backend servers.
 	suspects quarantine.List
+	// trials lets quarantined requests run once more.
+	trials *trials
 	// startedAt is when newPlatformNode was called.
 	startedAt time.Time
 	// startingPeerHeard is when a message of an entry that had just started last arrived, nil if
@@ -122,6 +124,7 @@
 		Logger: logger,
 	}
 	n.suspects.OnCleared = n.handleCleared
+	n.trials = newTrials(n.newStore(), &n.suspects, logger)
 	n.fleet = placement.New(settings.Region, n.entryPosition,
 		placement.WithFailureDomain(settings.FailureDomain),
 		placement.WithEntries(settings.Name, n.servingEntries),
@@ -174,6 +177,8 @@
 			EntryCount: n.entryCount,
 		},
 		Quarantine: &n.suspects,
+		BeginTrial: n.trials.begin,
+		EndTrial:   n.trials.end,
 		RegistrationsAge: func() (age time.Duration, known bool) {
 			return n.registry.TableAge(platform.ServerTable)
 		},
@@ -271,6 +276,7 @@
 // of this entry's row.
 func (n *platformNode) handleCleared(digest quarantine.Digest) {
 	n.tracker.UpdateRow()
+	n.trials.handleSuccess(digest)
 	n.logger.Info().Str("event", "suspect-cleared").Str("digest", digest.String()).Msg("")
 }
 
@@ -402,6 +408,7 @@
 	var group sync.WaitGroup
 	group.Go(func() { n.registry.Run(background) })
 	group.Go(func() { n.tracker.Run(background, open.peers) })
+	group.Go(func() { n.trials.run(background) })
 	group.Go(func() { n.closeStaleConns(background) })
 	group.Go(func() { n.watchSettings(background, reloadSignals) })
 	callerServer := &http.Server{
--- a/entry/platform_site_test.go
+++ b/entry/platform_site_test.go
@@ -92,9 +92,14 @@
 	}
 	address := fmt.Sprintf("10.9.0.%d:8080", index+1)
 	s.servers[address] = server
-	s.store.PutRow(platform.ServerTable, server.id, fmt.Appendf(nil,
-		`{"addr":%q,"info":{"service":"desk","version":"v1","zone":"region-%d-a","slots":%d},"status":{"state":"ready","seq":1,"cold_left":"0ms"},"born":1}`,
-		address, index%s.regions, s.slots))
+	s.register(index, 1)
+}
+
+// register registers the server with an index, started at a time in Unix milliseconds.
+func (s *platformSite) register(index int, startUnixMS int64) {
+	s.store.PutRow(platform.ServerTable, fmt.Sprintf("i-%d", index), fmt.Appendf(nil,
+		`{"addr":"10.9.0.%d:8080","info":{"service":"desk","version":"v1","zone":"region-%d-a","slots":%d},"status":{"state":"ready","seq":1,"cold_left":"0ms"},"born":%d}`,
+		index+1, index%s.regions, s.slots, startUnixMS))
 }
 
 // memoryStore returns a client for the site's store.
@@ -112,6 +117,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	group.Go(func() { n.tracker.Run(ctx, conn) })
+	group.Go(func() { n.trials.run(ctx) })
 	if len(s.servers) > 0 {
 		group.Go(func() { n.registry.Run(ctx) })
 	}
@@ -154,6 +160,7 @@
 		},
 	}, func() int64 { return 0 })
 	n.tracker.Store, n.registry.OperatorStore, n.registry.ServerStore = s.memoryStore(), s.memoryStore(), s.memoryStore()
+	n.trials.table = s.memoryStore().Platform().Table
 	n.tracker.FillPresence = func(message *teaselv1.Presence) {
 		n.fillPresence(message)
 		for server := range s.busyServers {
@@ -263,6 +270,9 @@
 	told map[int]time.Time
 	// arrivals holds the requests in the order of their arrival.
 	arrivals []siteArrival
+	// crash, if not nil, is called with the path of each request. If it returns true, the server
+	// has crashed while it ran the request.
+	crash func(path string) bool
 }
 
 // siteArrival is the arrival of a request of an entry at a server.
@@ -324,6 +334,9 @@
 		if !s.refusing(entry) {
 			time.Sleep(s.workTime)
 		}
+		if s.crash != nil && s.crash(request.URL.Path) {
+			return
+		}
 		if _, err := io.WriteString(conn, s.response(entry, request.Header.Get("X-Teaselstack-Request-Id"))); err != nil {
 			return
 		}
--- a/entry/quarantine/quarantine.go
+++ b/entry/quarantine/quarantine.go
@@ -9,7 +9,7 @@
 //
 // A suspect that was in flight at the failures of two backend servers, or of
 // FailureLimit if that is set, is quarantined: every entry refuses it, reporting
-// that it was not run, for FailureLifetime from then on. Entries exchange their suspects
+// that it was not run, for FailureLifetime from then on, apart from a trial. Entries exchange their suspects
 // in the messages by which they detect each other's failures, heartbeats or datagrams.
 package quarantine
 
@@ -88,6 +88,10 @@
 	// last recorded here behind failures, which then no longer counted.
 	lastSuccess time.Time
 	clearedAt   time.Time
+	// inTrial reports whether a call of BeginTrial has yet to be followed by one of EndTrial.
+	// trialAt is the earliest time of the next one.
+	inTrial bool
+	trialAt time.Time
 }
 
 // activeSuspect is the suspect that this entry currently runs on a backend server.
@@ -125,6 +129,10 @@
 	// survivalTime is how long after a failure a server that has crashed is still registered at
 	// most: three of its heartbeats, and the time to learn of it.
 	survivalTime = 10 * time.Second
+	// trialRetryDelay is the time between two attempts to begin the trial of a request, and
+	// spentTrialDelay if there was one already: it may have ended well without the news arriving.
+	trialRetryDelay = time.Second
+	spentTrialDelay = 30 * time.Second
 	// maxUnanswered is the maximum number of requests without an answer in a list.
 	maxUnanswered = 512
 )
@@ -288,6 +296,7 @@
 func (l *List) setSuccess(digest Digest, s *suspect, at time.Time) {
 	weight, wasQuarantined := l.weight(s), l.quarantined(s)
 	s.lastSuccess = at
+	s.trialAt = time.Time{}
 	if weight == 0 || l.weight(s) > 0 {
 		return
 	}
@@ -395,6 +404,38 @@
 	return s != nil && l.quarantined(s)
 }
 
+// BeginTrial reports whether a quarantined request may be tried again now, because servers that
+// are lost together seem to have failed with it. It waits until survivalTime after the last failure,
+// since the failures that servers survived no longer count then. If it returns true, the caller must
+// call EndTrial.
+func (l *List) BeginTrial(digest Digest) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.suspects[digest]
+	now := time.Now()
+	if s == nil || !l.quarantined(s) || s.inTrial || now.Before(s.trialAt) || now.Sub(s.lastFailure()) < survivalTime {
+		return false
+	}
+	s.inTrial = true
+	return true
+}
+
+// EndTrial ends what BeginTrial began. If spent is set, the request has had its trial.
+func (l *List) EndTrial(digest Digest, spent bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.suspects[digest]
+	if s == nil {
+		return
+	}
+	s.inTrial = false
+	delay := trialRetryDelay
+	if spent && l.quarantined(s) {
+		delay = spentTrialDelay
+	}
+	s.trialAt = time.Now().Add(delay)
+}
+
 // failureLimit returns FailureLimit or its default.
 func (l *List) failureLimit() int {
 	if l.FailureLimit == 0 {
--- a/entry/suspects_test.go
+++ b/entry/suspects_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,7 +13,6 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/teaselstack/teaselstack/entry/quarantine"
-	"github.com/teaselstack/teaselstack/platform"
 )
 
 // newSuspectSite starts entries in three regions, without servers.
@@ -261,9 +264,7 @@
 				if test.crash {
 					time.Sleep(time.Second)
 					for index := range 3 {
-						s.store.PutRow(platform.ServerTable, fmt.Sprintf("i-%d", index), fmt.Appendf(nil,
-							`{"addr":"10.9.0.%d:8080","info":{"service":"desk","version":"v1","zone":"region-%d-a","slots":3},"status":{"state":"ready","seq":1,"cold_left":"0ms"},"born":2}`,
-							index+1, index))
+						s.register(index, 2)
 					}
 				}
 				time.Sleep(undisturbedWindow)
@@ -290,3 +291,112 @@
 		})
 	}
 }
+
+// crashSite is a platformSite whose servers crash, and start again, when they run one request.
+type crashSite struct {
+	*platformSite
+	// crashing is cleared once the servers run that request as any other.
+	crashing atomic.Bool
+	// reached holds when it reached a server.
+	reached []time.Time
+	sends   int
+}
+
+// newCrashSite starts entries and servers, and calls crashThree.
+func newCrashSite(t *testing.T) *crashSite {
+	t.Helper()
+	s := &crashSite{
+		platformSite: newPlatformSite(t, &platformSite{
+			regions: 3,
+			slots:   3,
+		}, 7, 9),
+	}
+	for index := range 9 {
+		startUnixMS := int64(1)
+		s.servers[fmt.Sprintf("10.9.0.%d:8080", index+1)].crash = func(path string) bool {
+			if path != "/browse/crash" {
+				return false
+			}
+			s.reached = append(s.reached, time.Now())
+			if s.crashing.Load() {
+				startUnixMS++
+				s.register(index, startUnixMS)
+			}
+			return s.crashing.Load()
+		}
+	}
+	s.crashThree()
+	return s
+}
+
+// crashThree lets the request crash three servers.
+func (s *crashSite) crashThree() {
+	s.crashing.Store(true)
+	for before := len(s.reached); len(s.reached) < before+3; {
+		s.send()
+	}
+	time.Sleep(undisturbedWindow)
+}
+
+// send sends the request that crashes servers to the next entry, and returns the status of the
+// response.
+func (s *crashSite) send() int {
+	request := httptest.NewRequest(http.MethodGet, "/browse/crash", http.NoBody)
+	request.Host = "desk.example"
+	request.Header.Set("X-Teaselstack-Request-Id", fmt.Sprintf("crash-%d", s.sends))
+	request.Header.Set("X-Teaselstack-Deadline-Ms", "4000")
+	response := httptest.NewRecorder()
+	s.nodes[s.sends%len(s.nodes)].gateway.ServeHTTP(response, request)
+	s.sends++
+	return response.Code
+}
+
+// TestQuarantineOfLostServersEnds guards against the refusal of a request for ten minutes after
+// three servers were lost together, with their failure domain for example, while they ran it. That
+// happens twice.
+func TestQuarantineOfLostServersEnds(t *testing.T) {
+	for _, restart := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newCrashSite(t)
+			for range 2 {
+				s.crashing.Store(false)
+				assert.Equal(t, s.send(), http.StatusServiceUnavailable)
+				if restart {
+					s.restartAll()
+				}
+				// From here on the state is steady.
+				time.Sleep(15 * time.Second)
+				var statuses []int
+				for range 3 * len(s.nodes) {
+					statuses = append(statuses, s.send())
+					time.Sleep(time.Second)
+				}
+				assert.Assert(t, !slices.Contains(statuses, http.StatusServiceUnavailable), "restart %t: %d", restart, statuses)
+				s.crashThree()
+			}
+		})
+	}
+}
+
+// TestTrialsOfCrashingRequestAreBounded guards against more than three retries of a request that
+// crashes servers, later than the undisturbed window after it crashed the third, by trials of
+// entries that don't know of each other's, also after restarts.
+func TestTrialsOfCrashingRequestAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newCrashSite(t)
+		for range 3 {
+			for range 60 {
+				s.send()
+				time.Sleep(time.Second)
+			}
+			s.restartAll()
+		}
+		late := 0
+		for _, at := range s.reached {
+			if at.Sub(s.reached[2]) > undisturbedWindow {
+				late++
+			}
+		}
+		assert.Assert(t, late <= 3, "%d retries", late)
+	})
+}
