--- a/standin/gate/plannedstop_test.go
+++ b/standin/gate/plannedstop_test.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"syscall"
@@ -503,3 +504,54 @@
 	}
 	assert.Assert(t, waited > 0, "no request waited for a slot at the end")
 }
+
+// TestStopsKeepReloadedGracePeriods guards against a stop that lasts for the grace period with which
+// the entry started, though its settings file has changed since, with a SIGHUP or without.
+func TestStopsKeepReloadedGracePeriods(t *testing.T) {
+	d := startDeployment(t, 3, withGracePeriod(stopGracePeriod))
+	for _, each := range d.servers {
+		each.Work = func(string) time.Duration { return 10 * time.Second }
+	}
+	d.publishConfiguration(`,{"name":"slow","prefix":"/slow/","kind":"upload","timeout":"20s","goal":"15s","priority":1,"service":"desk","attempts":2}`)
+	graces := []time.Duration{2 * time.Second, 4 * time.Second}
+	for i, grace := range graces {
+		d.gracePeriod = grace
+		assert.NilError(t, os.WriteFile(d.entries[i].settingsFile, []byte(d.entrySettings(i)), 0o600))
+	}
+	d.signalEntry(0, syscall.SIGHUP)
+	sleep(t.Context(), 3*time.Second)
+	var group sync.WaitGroup
+	for i, grace := range graces {
+		caller := &stopCaller{
+			d:       d,
+			random:  rand.New(rand.NewPCG(1, uint64(i))),
+			conns:   make(map[string]keptConn),
+			address: d.entries[i].ip + ":8161",
+		}
+		group.Go(func() {
+			sent := make(chan struct{})
+			group.Go(func() {
+				defer close(sent)
+				caller.send(stopRequest{
+					method:    http.MethodPost,
+					path:      "/slow/",
+					timeout:   20 * time.Second,
+					deadline:  20 * time.Second,
+					bodyBytes: 1200,
+					fresh:     true,
+				}, fmt.Sprintf("reloaded-%d", i))
+			})
+			sleep(t.Context(), 500*time.Millisecond)
+			stoppedAt := time.Now()
+			d.signalEntry(i, syscall.SIGTERM)
+			assert.Check(t, d.waitEntry(i))
+			exited := time.Since(stoppedAt)
+			<-sent
+			result := &caller.results[0]
+			answered := result.endedAt.Sub(stoppedAt)
+			assert.Check(t, result.status == http.StatusBadGateway && answered >= grace*5/6 && exited < grace,
+				"status %d %s after SIGTERM, ended %s after it: %v", result.status, answered, exited, result.err)
+		})
+	}
+	group.Wait()
+}
