entry: reads of the store keep to the undisturbed window of the current settings

What callers saw: nothing. Found beside the grace period that a stop read once: after a reload with a shorter undisturbed window, calls that the store had dropped in an outage still timed out by the old one, so changes came later than the settings ask. Change: the registry asks for the window before each call. Evidence: TestStopKeepsReloadedGracePeriod reloads it too; the registry's copy did not compile as a function before, so the test did not run against the old code.

--- a/entry/platform_node.go
+++ b/entry/platform_node.go
@@ -152,7 +152,7 @@
 		ServerPollPause: func() time.Duration {
 			return registrationPollInterval(n.settings.Load().Bounds.DrainTime, n.fleet.LongestRoundTrip())
 		},
-		MaxLag:             settings.Bounds.StableWindow,
+		MaxLag:             func() time.Duration { return n.settings.Load().Bounds.StableWindow },
 		OnConfiguration:    n.fleet.Configure,
 		OnEvacuations:      n.fleet.SetEvacuated,
 		OnServersUpdated:   n.updateServers,
--- a/entry/platform_shutdown_test.go
+++ b/entry/platform_shutdown_test.go
@@ -278,9 +278,11 @@
 platform.addr=10.0.0.200:8169
 limits.max_fds=4100
 bounds.grace=%s
+bounds.stable_window=7s
 `, test.reloaded), 0o600))
 				e.reload <- syscall.SIGHUP
 				synctest.Wait()
+				assert.Equal(t, e.node.registry.MaxLag(), 7*time.Second)
 				request := &stopRequest{
 					id:       "r1",
 					work:     time.Minute,
--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -35,7 +35,7 @@
 	// noticed again. A call that the store dropped during the outage ends only by its
 	// timeout, so a long poll times out after MaxLag, but no sooner than minLongPoll plus
 	// callTimeout.
-	MaxLag time.Duration
+	MaxLag func() time.Duration
 	// OnConfiguration is called with each newer configuration. The registry's lock is
 	// held during the call, so it must not call Snapshot or TableAge.
 	OnConfiguration func(*routing.Configuration)
@@ -178,7 +178,7 @@
 // less callTimeout, so that the whole call ends within MaxLag, but at least minLongPoll.
 // If MaxLag is less than minLongPoll and callTimeout together, the call may take longer
 // than MaxLag.
-func (r *Registry) longPoll() time.Duration { return max(minLongPoll, r.MaxLag-callTimeout) }
+func (r *Registry) longPoll() time.Duration { return max(minLongPoll, r.MaxLag()-callTimeout) }
 
 // watch reads a table in full and then its changes, until ctx is done. It retries
 // failed calls with a jittered back-off.
--- a/entry/registry/registry_test.go
+++ b/entry/registry/registry_test.go
@@ -94,7 +94,7 @@
 			"north-a": "north",
 		},
 		ServerPollPause:    func() time.Duration { return time.Second },
-		MaxLag:             3 * time.Second,
+		MaxLag:             func() time.Duration { return 3 * time.Second },
 		OnConfiguration:    func(*routing.Configuration) {},
 		OnEvacuations:      r.setEvacuated,
 		OnServersUpdated:   r.update,
