entry: store a request after its first failure

A request that crashes servers was never refused if all entries were killed after each crash, since a single failure was not stored. Change: an entry stores all requests for which it saw a failure, up to 64 and those with most failures first, and takes them out when none counts any more.

--- a/entry/platform_node.go
+++ b/entry/platform_node.go
@@ -261,10 +261,9 @@
 }
 
 // handleFailure logs that a backend server failed while it ran a request, and whether the
-// request is quarantined from now on. An entry that saw a failure stores the request once it
-// is quarantined or the next failure would quarantine it.
+// request is quarantined from now on. An entry that saw a failure stores the request.
 func (n *platformNode) handleFailure(failure quarantine.Failure) {
-	if failure.SeenHere && (failure.Quarantined || failure.Count >= quarantineFailureLimit-1) {
+	if failure.SeenHere {
 		n.tracker.UpdateRow()
 	}
 	n.logger.Warn().Str("event", "suspect").Str("digest", failure.Digest.String()).Str("service", failure.Service).
@@ -307,8 +306,7 @@
 	n.suspects.MergeQuarantines(message.GetQuarantines())
 }
 
-// fillRow adds to this entry's row the requests for which it saw a failure, if they are
-// quarantined or the next failure would quarantine them.
+// fillRow adds to this entry's row the requests for which it saw a failure.
 func (n *platformNode) fillRow(row *teaselv1.Presence) {
 	row.Suspects = n.suspects.StoredSuspects()
 	row.Quarantines = n.suspects.StoredQuarantines()
--- a/entry/quarantine/heartbeat.go
+++ b/entry/quarantine/heartbeat.go
@@ -112,23 +112,24 @@
 	return l.encodeQuarantines(maxStoredQuarantines, func(s *suspect) bool { return s.seenHere })
 }
 
-// StoredSuspects returns the suspects for which this entry recorded any failure and that are
-// quarantined or would be by the failure of one more server, to be kept where they outlive the
+// StoredSuspects returns the suspects for which this entry recorded any failure, at most
+// maxStoredSuspects and those first for which most servers failed, to be kept where they outlive the
 // process. With the failures, a later process can tell which ones the servers have survived.
 func (l *List) StoredSuspects() []*teaselv1.Suspect {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	var messages []*teaselv1.Suspect
+	var stored []Digest
 	for digest, s := range l.suspects {
-		if !s.seenHere || s.recentFailures(now) < l.failureLimit()-1 {
-			continue
-		}
-		messages = append(messages, s.encode(digest, now, l.failureLimit()))
-		if len(messages) == maxStoredSuspects {
-			break
+		if s.seenHere && s.recentFailures(now) > 0 {
+			stored = append(stored, digest)
 		}
 	}
+	slices.SortFunc(stored, func(a, b Digest) int { return l.weight(l.suspects[b]) - l.weight(l.suspects[a]) })
+	var messages []*teaselv1.Suspect
+	for _, digest := range stored[:min(len(stored), maxStoredSuspects)] {
+		messages = append(messages, l.suspects[digest].encode(digest, now, l.failureLimit()))
+	}
 	return messages
 }
 
--- a/entry/quarantine/quarantine.go
+++ b/entry/quarantine/quarantine.go
@@ -301,7 +301,7 @@
 		return
 	}
 	s.clearedAt = time.Now()
-	if stored := s.seenHere && weight >= l.failureLimit()-1; (stored || wasQuarantined) && l.OnCleared != nil {
+	if (s.seenHere || wasQuarantined) && l.OnCleared != nil {
 		l.OnCleared(digest)
 	}
 }
@@ -365,7 +365,6 @@
 // applySurvivors records which servers have survived their failures with a suspect. The caller must
 // hold the lock.
 func (l *List) applySurvivors(digest Digest, s *suspect, asOf time.Time, alive map[string]bool) {
-	before := l.weight(s)
 	changed := false
 	for server, at := range s.failures {
 		if alive[server] && s.counts(server) && asOf.Sub(at) >= survivalTime {
@@ -381,7 +380,7 @@
 	case left >= limit:
 	case l.quarantined(s):
 		l.setSuccess(digest, s, time.Now())
-	case s.seenHere && before >= limit-1 && left < limit-1 && l.OnCleared != nil:
+	case left == 0 && s.seenHere && l.OnCleared != nil:
 		l.OnCleared(digest)
 	}
 }
--- a/entry/suspects_test.go
+++ b/entry/suspects_test.go
@@ -179,6 +179,20 @@
 	})
 }
 
+// TestSingleFailuresOutliveAllEntries guards against a request that crashes more servers than the
+// quarantine allows, because all entries were killed at the same time after each crash.
+func TestSingleFailuresOutliveAllEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSuspectSite(t, 7, 0)
+		for index := range 3 {
+			s.nodes[index].suspects.RecordFailure(crashingDigest, "desk", fmt.Sprintf("i-%d@1", index))
+			time.Sleep(undisturbedWindow)
+			s.restartAll()
+		}
+		s.assertQuarantined(t, crashingDigest)
+	})
+}
+
 // TestClearedSuspectDoesNotOutliveEntries guards against the refusal of a request that crashes
 // nothing: one that succeeded since two servers failed with it must not be suspect again after
 // the entries were killed, in turn or at the same time.
