gateway: the maximum number of connections spares unread requests

Callers saw: a connection reset without an answer to a request that they had sent in time, on a new connection too. When a late entry accepts several connections at once beyond their maximum, each closed the one that had been idle longest, although its request had arrived and only waited to be read. Nothing was passed on.

Such connections are now left open, as those are whose request is being read.

TestReceivedRequestKeepsConnectionOpen, which also covers the idle timeout as its predecessor did, failed before.

--- a/entry/gateway/limits.go
+++ b/entry/gateway/limits.go
@@ -141,7 +141,7 @@
 
 // add starts tracking a new connection as idle and starts its idle timeout. While there
 // are more connections than the maximum, it closes the one that has been idle longest,
-// but not the new one. l.mu must be held.
+// but not the new one, nor one on which a request waits to be read. l.mu must be held.
 func (l *ConnLimiter) add(conn net.Conn, idleTimeout time.Duration) {
 	if l.conns == nil {
 		l.conns = make(map[net.Conn]*callerConn)
@@ -152,12 +152,13 @@
 	l.setCloseTimer(tracked, idleTimeout)
 	l.conns[conn] = tracked
 	tracked.idleElement = l.idleConns.PushBack(tracked)
-	for l.MaxConns != nil && len(l.conns) > l.MaxConns() {
-		oldest := l.idleConns.Front().Value.(*callerConn)
-		if oldest == tracked {
-			break
+	element := l.idleConns.Front()
+	for l.MaxConns != nil && len(l.conns) > l.MaxConns() && element != tracked.idleElement {
+		oldest := element.Value.(*callerConn)
+		element = element.Next()
+		if !hasUnread(oldest.conn) {
+			l.closeConn(oldest)
 		}
-		l.closeConn(oldest)
 	}
 }
 
--- a/entry/gateway/limits_test.go
+++ b/entry/gateway/limits_test.go
@@ -197,34 +197,42 @@
 	}
 }
 
-// TestReceivedRequestOutlastsIdleTimeout guards against connections that the idle timeout closes
-// although a request has arrived on them, which a late entry hasn't read yet.
-func TestReceivedRequestOutlastsIdleTimeout(t *testing.T) {
+// TestReceivedRequestKeepsConnectionOpen guards against connections that the idle timeout or the
+// maximum number closes although a request has arrived on them, which a late entry hasn't read yet.
+func TestReceivedRequestKeepsConnectionOpen(t *testing.T) {
 	conf := routing.NewConfiguration(1, nil, routing.Limits{
 		IdleTimeout: 300 * time.Millisecond,
 	}, nil)
-	limiter := &gateway.ConnLimiter{
-		Configuration: func() *routing.Configuration { return conf },
-	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer listener.Close()
-	accepted := (&pipeline.Handler{}).Listener(listener)
-	var callerConns []net.Conn
-	for _, sent := range []string{"", "POST"} {
-		callerConn, err := net.Dial("tcp", listener.Addr().String())
-		assert.NilError(t, err)
-		defer callerConn.Close()
-		_, err = io.WriteString(callerConn, sent)
-		assert.NilError(t, err)
-		entryConn, err := accepted.Accept()
+	for _, limiter := range []*gateway.ConnLimiter{
+		{
+			Configuration: func() *routing.Configuration { return conf },
+		},
+		{
+			Configuration: func() *routing.Configuration { return nil },
+			MaxConns:      func() int { return 2 },
+		},
+	} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		assert.NilError(t, err)
-		limiter.ConnState(entryConn, http.StateNew)
-		callerConns = append(callerConns, callerConn)
+		defer listener.Close()
+		accepted := (&pipeline.Handler{}).Listener(listener)
+		var callerConns []net.Conn
+		for _, sent := range []string{"POST", "", ""} {
+			callerConn, err := net.Dial("tcp", listener.Addr().String())
+			assert.NilError(t, err)
+			defer callerConn.Close()
+			_, err = io.WriteString(callerConn, sent)
+			assert.NilError(t, err)
+			entryConn, err := accepted.Accept()
+			assert.NilError(t, err)
+			limiter.ConnState(entryConn, http.StateNew)
+			callerConns = append(callerConns, callerConn)
+		}
+		assert.NilError(t, callerConns[1].SetReadDeadline(time.Now().Add(5*time.Second)))
+		_, err = callerConns[1].Read(make([]byte, 1))
+		assert.ErrorIs(t, err, io.EOF)
+		assert.NilError(t, callerConns[0].SetReadDeadline(time.Now().Add(200*time.Millisecond)))
+		_, err = callerConns[0].Read(make([]byte, 1))
+		assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
 	}
-	_, err = callerConns[0].Read(make([]byte, 1))
-	assert.ErrorIs(t, err, io.EOF)
-	assert.NilError(t, callerConns[1].SetReadDeadline(time.Now().Add(200*time.Millisecond)))
-	_, err = callerConns[1].Read(make([]byte, 1))
-	assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
 }
