entry: an unused trial is left to other entries

What callers saw: a request that servers were lost with stayed refused as quarantined for ten minutes at all entries, if the one that claimed its trial could not send it: it was in the last seconds of a stop, or no server had room, and its callers went to others then. Found by review. Cause: the claim stayed in the store unless the request succeeded, and outlives the entry. Change: a claim is withdrawn, too, if the request reached no server. It isn't used meanwhile, also if the store's answer is lost, so there is still one trial at a time. A withdrawal that failed is tried again; before, the claim then stayed for good. Evidence: TestUnusedTrialIsLeftToOtherEntries failed before (503), and its second case without the further tries.

--- a/entry/platform_trials.go
+++ b/entry/platform_trials.go
@@ -41,8 +41,9 @@
 	sends int
 	// mayHaveRun reports whether one of them may have run it.
 	mayHaveRun bool
-	// succeeded reports whether the request has succeeded since, here or elsewhere.
-	succeeded bool
+	// ended reports whether the claim is to be withdrawn, so that there can be another trial: the
+	// request has succeeded, here or elsewhere, or was sent to no server.
+	ended bool
 }
 
 const (
@@ -59,6 +60,8 @@
 	// maxTrialCommits is the maximum number of attempts to write the row, which other entries
 	// may change at the same time.
 	maxTrialCommits = 3
+	// withdrawInterval is the time between two attempts to withdraw claims.
+	withdrawInterval = 5 * time.Second
 )
 
 // newTrials returns trials of the requests that are quarantined in suspects.
@@ -99,6 +102,9 @@
 		claim.sends += sends
 		claim.mayHaveRun = claim.mayHaveRun || mayHaveRun
 		spent = claim.spent()
+		if claim.sends == 0 {
+			t.endClaim(claim)
+		}
 	}
 	t.mu.Unlock()
 	t.suspects.EndTrial(digest, spent)
@@ -119,9 +125,9 @@
 		}
 		t.claims[digest] = claim
 	}
-	spent := claim.spent()
+	usable := !claim.ended && !claim.spent()
 	t.mu.Unlock()
-	if spent {
+	if !usable {
 		return false, nil
 	}
 	err = t.updateRow(ctx, func(content []byte) []byte {
@@ -215,11 +221,14 @@
 func (t *trials) handleSuccess(digest quarantine.Digest) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	claim := t.claims[digest]
-	if claim == nil {
-		return
+	if claim := t.claims[digest]; claim != nil {
+		t.endClaim(claim)
 	}
-	claim.succeeded = true
+}
+
+// endClaim makes run withdraw a claim. The caller must hold t.mu.
+func (t *trials) endClaim(claim *trialClaim) {
+	claim.ended = true
 	select {
 	case t.ended <- struct{}{}:
 	default:
@@ -229,27 +238,33 @@
 
 // run withdraws claims until ctx is done.
 func (t *trials) run(ctx context.Context) {
+	ticker := time.NewTicker(withdrawInterval)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.ended:
+		case <-ticker.C:
 		}
 		t.withdraw(ctx)
 	}
 }
 
-// withdraw removes from the row this process's claims to the trials of requests that have
-// succeeded. A claim that can't be removed stays, and there is no further trial of its request.
+// withdraw removes from the row those claims of this process that have ended. One that can't be
+// removed stays, and there is no further trial of its request until a later call removes it.
 func (t *trials) withdraw(ctx context.Context) {
 	t.mu.Lock()
 	withdrawn := make(map[quarantine.Digest]string)
 	for digest, claim := range t.claims {
-		if claim.succeeded {
+		if claim.ended {
 			withdrawn[digest] = claim.token
 		}
 	}
 	t.mu.Unlock()
+	if len(withdrawn) == 0 {
+		return
+	}
 	err := t.updateRow(ctx, func(content []byte) []byte {
 		var left []byte
 		for line := range bytes.Lines(content) {
@@ -264,6 +279,7 @@
 	})
 	if err != nil {
 		t.logger.Warn().Str("event", "trial-kept").Err(err).Msg("")
+		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/entry/suspects_test.go
+++ b/entry/suspects_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -10,9 +11,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-faster/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/teaselstack/teaselstack/entry/quarantine"
+	"github.com/teaselstack/teaselstack/platform"
 )
 
 // newSuspectSite starts entries in three regions, without servers.
@@ -414,3 +417,31 @@
 		assert.Assert(t, late <= 3, "%d retries", late)
 	})
 }
+
+// TestUnusedTrialIsLeftToOtherEntries guards against the refusal of a request for ten minutes
+// because the entry that claimed its trial sent it to no server: it was stopping, for example. The
+// store may fail for a moment then.
+func TestUnusedTrialIsLeftToOtherEntries(t *testing.T) {
+	for _, storeFails := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newCrashSite(t)
+			s.crashing.Store(false)
+			stopping := s.nodes[0]
+			now := time.Now()
+			stopping.responsesDue.Store(&now)
+			commits, commit := 0, stopping.trials.table.Commit
+			stopping.trials.table.Commit = func(ctx context.Context, writes []platform.Write) ([]platform.Revision, error) {
+				if commits++; storeFails && commits == 2 {
+					return nil, errors.New("no answer")
+				}
+				return commit(ctx, writes)
+			}
+			time.Sleep(15 * time.Second)
+			s.sends = 0
+			assert.Equal(t, s.send(), http.StatusServiceUnavailable)
+			time.Sleep(2 * withdrawInterval)
+			s.stops[0]()
+			assert.Equal(t, s.send(), http.StatusOK, "store fails %t", storeFails)
+		})
+	}
+}
