pipeline: refuse what is received behind a refused request

What callers saw: of two requests sent at once on an idle connection, after a stop had begun to refuse, the first got 503 and the second was run. Found by review. Cause: what is received behind a request in progress is admitted at once, also behind one that Drain refuses. Such a request could start after Drain had waited for all others, and be given up at work. Change: only behind an admitted request is the next one admitted in advance. Behind a refused one the connection stays open, and the next one is refused as well. Evidence: TestRequestBehindRefusedOneIsRefused failed before (200 in place of 503).

--- a/entry/pipeline/conn.go
+++ b/entry/pipeline/conn.go
@@ -194,7 +194,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.countNext()
-	if len(c.early) > 0 || c.nextCounted {
+	if len(c.early) > 0 || c.receivedNext() {
 		return false
 	}
 	c.closing = true
@@ -332,16 +332,23 @@
 
 // countNext counts the request behind the current one and those in early as outstanding, once
 // some of it was received. Its caller gets an answer: it may have been sent before the entry
-// began to shut down, and its connection may stay open for a long time. c.mu must be held.
+// began to shut down, and its connection may stay open for a long time. Behind a request that is
+// refused, it is refused as well. c.mu must be held.
 func (c *conn) countNext() {
-	sizeKnown := c.phase == phaseRest || c.phase == phaseComplete
-	if !sizeKnown || !c.serving || c.nextCounted || c.closing || c.closed || int64(len(c.pending)) <= c.left+int64(c.examined) {
+	if c.nextCounted || !c.counted || c.closing || c.closed || !c.receivedNext() {
 		return
 	}
 	c.handler.countNext()
 	c.nextCounted = true
 }
 
+// receivedNext reports whether some of the request behind the current one and those in early was
+// received. c.mu must be held.
+func (c *conn) receivedNext() bool {
+	sizeKnown := c.phase == phaseRest || c.phase == phaseComplete
+	return sizeKnown && c.serving && int64(len(c.pending)) > c.left+int64(c.examined)
+}
+
 // takeHeader appends up to count bytes of pending to the current request's header, but
 // none behind the empty line that ends it, and returns how many. c.mu must be held.
 func (c *conn) takeHeader(count int) int {
--- a/entry/pipeline/pipeline_test.go
+++ b/entry/pipeline/pipeline_test.go
@@ -488,6 +488,25 @@
 	}
 }
 
+// TestRequestBehindRefusedOneIsRefused guards against a request that is run after Drain has waited
+// for all others, because it was received behind one that Drain refused.
+func TestRequestBehindRefusedOneIsRefused(t *testing.T) {
+	withHarness(t, func(t *testing.T, h *harness) {
+		h.send(get("/safe/10/first"))
+		h.mustReceive(t, "/safe/10/first")
+		h.setShuttingDown(true)
+		assert.NilError(t, h.drain(5*time.Second))
+		h.send(get("/effect/10/a") + get("/effect/10/b"))
+		for _, last := range []bool{false, true} {
+			received, err := h.receive(http.MethodGet)
+			assert.NilError(t, err)
+			assert.Equal(t, received.status, http.StatusServiceUnavailable)
+			assert.Equal(t, received.close, last)
+		}
+		h.mustBeClosed(t)
+	})
+}
+
 // TestRequestsWithoutAnswerAreLogged checks that the log names a request that is under way when the
 // process is about to end, and one whose response can't be written.
 func TestRequestsWithoutAnswerAreLogged(t *testing.T) {
