entry/gateway: the wait for a trial ends with the request's deadline

What callers saw: with a silent store, a quarantined request with a deadline of 300 ms was refused after 480 ms (found by review). Cause: the wait for the store ended with the context of the request, which lasts for the time in which a server's answer at the deadline may still arrive. Change: it ends at the deadline. Evidence: TestTrialWaitsUntilDeadline failed before, with 480 ms.

--- a/entry/gateway/forward.go
+++ b/entry/gateway/forward.go
@@ -60,7 +60,7 @@
 	req.callerRetry = g.isCallerRetry(req)
 	req.failureReason = outcome.ReasonNoRoom
 	defer req.discardFallback()
-	if g.BeginTrial != nil && g.BeginTrial(ctx, req.digest) {
+	if g.beginTrial(ctx, req) {
 		req.trial = true
 		defer func() { g.EndTrial(req.digest, req.sentAttempts, req.mayHaveRun) }()
 	}
@@ -82,6 +82,17 @@
 	g.finishAfterFailure(ctx, w, req)
 }
 
+// beginTrial reports whether a request may run although it is quarantined. It waits for that until
+// the request's deadline at most.
+func (g *Gateway) beginTrial(ctx context.Context, req *proxyRequest) bool {
+	if g.BeginTrial == nil {
+		return false
+	}
+	ctx, cancel := context.WithDeadline(ctx, req.responseDeadline)
+	defer cancel()
+	return g.BeginTrial(ctx, req.digest)
+}
+
 // stopReason returns why no further attempt may be made, or "" if one may.
 func (g *Gateway) stopReason(ctx context.Context, req *proxyRequest) outcome.Reason {
 	switch {
--- a/entry/gateway/quarantine_test.go
+++ b/entry/gateway/quarantine_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/teaselstack/teaselstack/entry/quarantine"
 )
 
 // poisonPath is the path of a request that crashes each server that runs it.
@@ -130,3 +133,19 @@
 		assert.Assert(t, crashes <= 6, "%d crashes", crashes)
 	})
 }
+
+// TestTrialWaitsUntilDeadline guards against a refusal that comes after the request's deadline, as
+// the store of the trials doesn't answer.
+func TestTrialWaitsUntilDeadline(t *testing.T) {
+	withHarness(t, respondOK, []string{"a"}, func(t *testing.T, h *harness) {
+		h.gateway.BeginTrial = func(ctx context.Context, _ quarantine.Digest) bool {
+			<-ctx.Done()
+			return false
+		}
+		request := newRequest(http.MethodGet, "/browse/1", "r1", "")
+		request.Header.Set(headerNames.DeadlineMS, "300")
+		began := time.Now()
+		h.send(request)
+		assert.Equal(t, time.Since(began), 300*time.Millisecond)
+	})
+}
