--- a/entry/pipeline/conn.go
+++ b/entry/pipeline/conn.go
@@ -43,10 +43,10 @@
 	// until its handler returns.
 	serving bool
 	// counted is true while the current request counts as outstanding, until its handler
-	// returns. From then on, undelivered counts it, until the http.Server has written its
+	// returns. From then on it is one of unwritten, until the http.Server has written its
 	// response.
-	counted     bool
-	undelivered int
+	counted   bool
+	unwritten int
 	// handlerDone is closed when the handler of the current request returns. It is nil
 	// while no handler runs.
 	handlerDone chan struct{}
@@ -125,7 +125,7 @@
 	c.cancel()
 	c.mu.Lock()
 	abandoned := c.early
-	requests := len(c.early) + c.undelivered
+	requests := len(c.early) + c.unwritten
 	if c.counted {
 		requests++
 	}
@@ -136,7 +136,7 @@
 		abandoned = append(abandoned, c.current)
 	}
 	linger := c.closing && !c.closed
-	c.early, c.counted, c.nextCounted, c.undelivered, c.closed = nil, false, false, 0, true
+	c.early, c.counted, c.nextCounted, c.unwritten, c.closed = nil, false, false, 0, true
 	c.mu.Unlock()
 	for _, early := range abandoned {
 		early.abandon()
@@ -338,7 +338,7 @@
 	if c.nextCounted || !c.counted || c.closing || c.closed || !c.receivedNext() {
 		return
 	}
-	c.handler.countNext()
+	c.handler.admitNext()
 	c.nextCounted = true
 }
 
@@ -417,16 +417,16 @@
 	c.handlerDone, c.current, c.serving = nil, nil, false
 	if c.counted {
 		c.counted = false
-		c.undelivered++
+		c.unwritten++
 	}
 	c.mu.Unlock()
 }
 
-// delivered records that the http.Server has written the response to the current request.
-func (c *conn) delivered() {
+// written records that the http.Server has written the response to the current request.
+func (c *conn) written() {
 	c.mu.Lock()
-	count := c.undelivered
-	c.undelivered = 0
+	count := c.unwritten
+	c.unwritten = 0
 	c.mu.Unlock()
 	c.handler.release(count)
 }
--- a/entry/pipeline/pipeline.go
+++ b/entry/pipeline/pipeline.go
@@ -33,8 +33,8 @@
 	// ShuttingDown reports whether each connection is to be closed after its last response.
 	// No requests are then started early.
 	ShuttingDown func() bool
-	// RequestBegan, if not nil, is called with the connection of each request whose header is
-	// being received, before the http.Server gets the first bytes, and perhaps again later.
+	// RequestBegan, if not nil, is called with the connection of each request before the
+	// http.Server gets the first bytes of its header, and again with each further part of it.
 	RequestBegan func(conn net.Conn)
 	// HeaderRead, if not nil, is called with the context of each request that the
 	// http.Server has read.
@@ -55,7 +55,8 @@
 	// refusing is true from the moment when no further requests are admitted.
 	refusing bool
 	// outstanding is the number of requests that were read at least in part, or started
-	// early, and whose response isn't complete.
+	// early, and whose response isn't complete: the sum of counted, nextCounted, unwritten and
+	// the size of early over all conns.
 	outstanding int
 	// started is the number of requests that were ever started early.
 	started int64
@@ -92,7 +93,7 @@
 // returned.
 func (h *Handler) ConnState(connection net.Conn, state http.ConnState) {
 	if c, ok := connection.(*conn); ok && state == http.StateIdle {
-		c.delivered()
+		c.written()
 	}
 }
 
@@ -184,13 +185,13 @@
 	drainPollInterval = 10 * time.Millisecond
 )
 
-// Drain stops accepting connections, admits no requests but the first ones of new connections
-// and those received behind a request in progress, and returns when all admitted requests are
-// answered, or with ctx. Refuse answers the others: the caller of a request that was read and
-// whose connection just ends doesn't know that it has not run.
-// After it, http.Server.Shutdown closes idle connections only, and drops requests that have
-// not been admitted. Without it, Shutdown drops a request that was just read.
-// Drain does all of this even if the listener can't be closed, and then returns that error.
+// Drain stops accepting connections and waits, for firstRequestTime at most, for the first
+// requests of those that have had none. It then admits only what is received behind a request in
+// progress, and returns when all admitted requests are answered, or with ctx. Refuse answers the
+// others: the caller of a request that was read and whose connection just ends doesn't know that
+// it has not run. After Drain, http.Server.Shutdown closes idle connections only. Without it,
+// Shutdown drops a request that was just read. Drain does all of this even if the listener can't
+// be closed, and then returns that error.
 func (h *Handler) Drain(ctx context.Context) error {
 	listenerErr := h.closeListener(ctx)
 	firstRequests, cancel := context.WithTimeout(ctx, firstRequestTime)
@@ -271,8 +272,8 @@
 	h.mu.Unlock()
 	for _, c := range conns {
 		c.mu.Lock()
-		id, counted := c.requestID, c.counted || c.undelivered > 0
-		unanswered := c.handlerDone != nil || c.undelivered > 0
+		id, counted := c.requestID, c.counted || c.unwritten > 0
+		unanswered := c.handlerDone != nil || c.unwritten > 0
 		c.mu.Unlock()
 		if unanswered {
 			h.Logger.Warn().Str("event", "unanswered").Str("id", id).Bool("counted", counted).Msg("")
@@ -293,8 +294,8 @@
 	return true
 }
 
-// countNext counts a request that was received behind another one as outstanding.
-func (h *Handler) countNext() {
+// admitNext counts a request that was received behind another one as outstanding.
+func (h *Handler) admitNext() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.outstanding++
--- a/entry/platform_shutdown.go
+++ b/entry/platform_shutdown.go
@@ -20,6 +20,7 @@
 	// expects no answers of servers that are still at work in the last sixth of the grace
 	// period. The margin is shorter than that sixth by responseTime, in which the answers of
 	// servers that were done before arrive, but at least minExitMarginShare of the grace period.
+	// For 6 s it is 600 ms, for 3 s 400 ms.
 	exitMargin         = 600 * time.Millisecond
 	responseTime       = 100 * time.Millisecond
 	minExitMarginShare = 0.05
@@ -52,7 +53,7 @@
 	} else {
 		n.logger.Info().Str("event", "drained").Int("outstanding", n.pipeline.Outstanding()).Int64("in-flight", n.gateway.InFlight()).Msg("")
 	}
-	// A request that the pipeline doesn't count must not be given up before the others either.
+	// A request that the pipeline doesn't count isn't given up earlier either.
 	awaitZero(ctx, n.gateway.InFlight)
 	n.giveUp()
 	exitCtx, cancelExit := context.WithDeadline(context.Background(), began.Add(deliveryTime(grace)))
--- a/entry/quarantine/quarantine.go
+++ b/entry/quarantine/quarantine.go
@@ -9,8 +9,9 @@
 //
 // A suspect that was in flight at the failures of two backend servers, or of
 // FailureLimit if that is set, is quarantined: every entry refuses it, reporting
-// that it was not run, for FailureLifetime from then on, apart from a trial. Entries exchange their suspects
-// in the messages by which they detect each other's failures, heartbeats or datagrams.
+// that it was not run, for FailureLifetime from then on, apart from a trial, see
+// BeginTrial. Entries exchange their suspects in the messages by which they detect each
+// other's failures, heartbeats or datagrams.
 package quarantine
 
 import (
