entry/placement: evicted objects don't count as a server's slowness

Nothing was overloaded: all of them were sent at congestion 0.

Cause: an entry takes an object for warm 20 s after a server answered for it. By their times, the servers, which keep 42, had evicted many by then: of 1,418 answers for objects that the entry took for warm 505 took over twice the warm time and 30 ms, 24 in 100 where fewer than 30 objects were answered in between, 68 in 100 where 42 or more were. Each such answer raised the server's slowdown, past 2 within a few answers, and all servers of the region looked so slow that loading the object in another region looked faster. The copies made there then drew more requests.

A slow server is slow for every request. So the slowdown now follows the least of the last three answers for warm objects, rises by 0.15 of the difference, and falls at once.

Evidence: the new test fails without the change at its first seed (0.74 to 0.84 at home) and passes at all 12 with it; the other tests of the package pass untouched.

--- a/entry/placement/fleet_test.go
+++ b/entry/placement/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -239,3 +240,85 @@
 	fleet.Remove([]string{"server-1"})
 	assert.Equal(t, placeAndComplete(t, fleet, 1), "server-0")
 }
+
+// TestEvictedObjectsDoNotMoveRequests places requests for objects of which the servers have evicted
+// a share, so that they load them anew. That was taken for the servers' slowness, and a third of a
+// region's requests moved from one window of two seconds to the next, where 15 in 100 may. Servers
+// that are slow for all objects must still lose most requests.
+func TestEvictedObjectsDoNotMoveRequests(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// evictedShare is the share of the requests whose object is loaded, and slowdown the factor
+		// by which the own region's servers take longer.
+		evictedShare, slowdown float64
+		// minHome and maxHome bound the share of the requests of a window that run at home.
+		minHome, maxHome float64
+	}{
+		{
+			name:         "third evicted",
+			evictedShare: 0.36,
+			slowdown:     1,
+			minHome:      0.85,
+			maxHome:      1,
+		},
+		{
+			name:         "half evicted",
+			evictedShare: 0.5,
+			slowdown:     1,
+			minHome:      0.85,
+			maxHome:      1,
+		},
+		{
+			name:     "slow",
+			slowdown: 5,
+			minHome:  0,
+			maxHome:  0.5,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			for seed := range uint64(12) {
+				synctest.Test(t, func(t *testing.T) {
+					remote := newTestServer("server-2")
+					remote.Region, remote.FailureDomain = "south", "south-a"
+					fleet := newTestFleet(append(newTestServers(2), remote)...)
+					const roundTrip, work, loadFactor = 24 * time.Millisecond, 150 * time.Millisecond, 3.3
+					fleet.ObserveRoundTrip("south", roundTrip)
+					random := rand.New(rand.NewPCG(1, seed))
+					const windows, windowRequests = 25, 80
+					for window := range windows {
+						home := 0
+						for range windowRequests {
+							request := newRequest(random.IntN(50))
+							request.Route = &routing.Route{
+								Name:             "browse",
+								LatencyObjective: 2 * work,
+							}
+							choice, refusal := fleet.Choose(request)
+							assert.Equal(t, refusal, placement.RefusalNone)
+							factor := 0.85 + 0.3*random.Float64()
+							// All objects stay warm for the first windows, in which the work becomes known.
+							if random.Float64() < test.evictedShare && window >= windows/2 {
+								factor *= loadFactor
+							}
+							way := roundTrip
+							if choice.Server.Region != remote.Region {
+								home++
+								way = 0
+								if window >= windows/2 {
+									factor *= test.slowdown
+								}
+							}
+							fleet.Done(&choice, placement.SignalAnswered, nil, way+time.Duration(factor*float64(work)))
+							time.Sleep(2 * time.Second / windowRequests)
+						}
+						share := float64(home) / windowRequests
+						assert.Check(t, share >= test.minHome, "seed %d, window %d: %.2f at home", seed, window, share)
+						if window > windows/2 {
+							assert.Check(t, share <= test.maxHome, "seed %d, window %d: %.2f at home", seed, window, share)
+						}
+					}
+				})
+			}
+		})
+	}
+}
--- a/entry/placement/latency.go
+++ b/entry/placement/latency.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -39,9 +40,10 @@
 	// slowdownHalfLife is the half-life of a server's slowdown while no answer updates
 	// it. Because it decays, a slow server is tried again.
 	slowdownHalfLife = 3 * time.Second
-	// slowdownSmoothing is the weight of one answer in the exponential moving
-	// average of a server's slowdown.
-	slowdownSmoothing = 0.3
+	// slowdownSmoothing is the weight of one answer in the exponential moving average of a
+	// server's slowdown, and warmSlowdownSmoothing that of one for a warm object that raises it.
+	slowdownSmoothing     = 0.3
+	warmSlowdownSmoothing = 0.15
 	// maxSlowdown bounds the slowdown that one answer can indicate.
 	maxSlowdown = 20
 )
@@ -60,14 +62,33 @@
 	expected := choice.ExpectedLatency - f.roundTrips[server.Region]
 	if expected > 0 && (choice.objectWarm || took < expected) {
 		ratio := min(maxSlowdown, float64(took)/float64(expected)*choice.Slowdown)
-		server.slowdown = server.slowdownNow(now) + slowdownSmoothing*(ratio-server.slowdownNow(now))
-		server.slowdownAt = now
+		server.observeSlowdown(ratio, choice.objectWarm, now)
 	}
 	if estimate != nil && choice.Slowdown < maxNormalSlowdown {
 		estimate.observe(took, now)
 	}
 }
 
+// observeSlowdown updates the server's slowdown after an answer that indicates the given one. A slow
+// server is slow for every request, while one that has evicted an object, which this entry cannot
+// know, is so for that one only. So the slowdown that the last answers for warm objects all show
+// counts, and a lower one at once.
+func (s *serverRecord) observeSlowdown(indicated float64, objectWarm bool, now time.Time) {
+	current := s.slowdownNow(now)
+	weight := slowdownSmoothing
+	if objectWarm {
+		copy(s.recentSlowdowns[1:], s.recentSlowdowns[:])
+		s.recentSlowdowns[0] = indicated
+		indicated = slices.Min(s.recentSlowdowns[:])
+		weight = warmSlowdownSmoothing
+		if indicated < current {
+			weight = 1
+		}
+	}
+	s.slowdown = current + weight*(indicated-current)
+	s.slowdownAt = now
+}
+
 // maxNormalSlowdown is the slowdown below which a server's answers update the
 // estimated service time of a route. The times of a slower server say more about
 // the server than about the route.
--- a/entry/placement/placement.go
+++ b/entry/placement/placement.go
@@ -183,6 +183,8 @@
 	// server's service times to the expected ones; 0 before the first observation.
 	slowdown   float64
 	slowdownAt time.Time
+	// recentSlowdowns holds the ratios of the last answers for warm objects, the latest first.
+	recentSlowdowns [3]float64
 	// silentSince is when a request to the server last ended with a signal other than
 	// SignalNone, or when one was sent while no other was in flight, whichever is later.
 	// If requests are in flight and none ends with such a signal within silenceLimit from
