dispatch: end relays to a peer that counts as dead

What callers saw: a browse request relayed to an entry just before that was paused ended unknown, reason deadline, after 10 s, although other entries could have served it. Cause: the others count the entry as dead after some 6 s, but nothing ended the relays under way. Change: Roster.WatchDead tells a relay when its peer becomes dead. The relay then ends, and the request is tried elsewhere with the time left, if another attempt is left and either the peer has read none of its body (it has not run, and can't any more), or it is idempotent and the retry budget gives a token. A peer that is cut, not dead, may well run: nothing changes. Left: a body that was cut after its head was passed on still ends at the deadline. Evidence: TestRelayToDeadPeer fails without the watch (the request waits 1 s for the peer), and on copies that end relays which may run once, end them without another home, or keep unread bodies.

--- a/entry/dispatch/body.go
+++ b/entry/dispatch/body.go
@@ -52,6 +52,18 @@
 	return nil
 }
 
+// detachUnread detaches the body if the attempt has not tried to read from it, and reports
+// whether it did.
+func (b *attemptBody) detachUnread() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.wasRead {
+		return false
+	}
+	b.detached = true
+	return true
+}
+
 // detach makes all later reads fail. It reports whether the attempt has tried to
 // read from the body, and the error of reading it.
 func (b *attemptBody) detach() (wasRead bool, readErr error) {
--- a/entry/dispatch/cluster_test.go
+++ b/entry/dispatch/cluster_test.go
@@ -69,6 +69,8 @@
 	beforeCommit func()
 	// lastIncarnation is the incarnation of the entry that was started last.
 	lastIncarnation uint64
+	// onDead holds the functions that countDead calls.
+	onDead map[*func()]string
 }
 
 // entryProcess is one incarnation of an entry.
@@ -145,6 +147,7 @@
 		configuration:    configuration,
 		servers:          make(map[string]*backendServer),
 		entries:          make(map[string]*entryProcess),
+		onDead:           make(map[*func()]string),
 		loseCommitAnswer: func() bool { return false },
 		beforeCommit:     func() {},
 	}
@@ -209,6 +212,7 @@
 		Configuration:    func() *intent.Configuration { return c.configuration },
 		RankHomes:        c.rankHomes(name),
 		PeerAddress:      func(entry string) string { return entry + ".peer:80" },
+		WatchDead:        c.watchDead,
 		Slots:            slots,
 		Links:            &link.Shaper{},
 		Keys:             entry.register,
@@ -384,6 +388,30 @@
 	}
 }
 
+// watchDead makes countDead call onDead, for all entries alike.
+func (c *cluster) watchDead(entry string, onDead func()) (stop func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.onDead[&onDead] = entry
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.onDead, &onDead)
+	}
+}
+
+// countDead makes the entries count an entry as dead.
+func (c *cluster) countDead(entry string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for onDead, watched := range c.onDead {
+		if watched == entry {
+			(*onDead)()
+			delete(c.onDead, onDead)
+		}
+	}
+}
+
 // runsOfKey returns how many times backend servers ran requests with a key.
 func (c *cluster) runsOfKey(requestKey string) int {
 	total := 0
--- a/entry/dispatch/dispatch.go
+++ b/entry/dispatch/dispatch.go
@@ -47,6 +47,9 @@
 	RankHomes func(service *intent.Service, region string) []steering.RankedCandidate
 	// PeerAddress returns the address of a peer, or "" if the entry is unknown.
 	PeerAddress func(entry string) string
+	// WatchDead calls onDead once when a peer counts as dead, at once if it does already, and
+	// not after stop has returned. It may be nil; relays then don't end when a peer is dead.
+	WatchDead func(entry string, onDead func()) (stop func())
 
 	// ReportHealth is called if the outcome of an attempt shows whether the backend
 	// server is healthy; it may be nil.
@@ -93,6 +96,8 @@
 	// server is the name of the backend server that was tried. It is "" if none was, or
 	// if the response came from a peer, which doesn't name the server.
 	server string
+	// charged is set if the retry budget was charged for the next attempt already.
+	charged bool
 	// release releases the body of the response and the connection and slot that the
 	// request uses. Its argument is the outcome after the response was copied. It is
 	// nil if and only if response is nil.
--- a/entry/dispatch/relay.go
+++ b/entry/dispatch/relay.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/teaselstack/teaselstack/entry/steering"
 	"github.com/teaselstack/teaselstack/header"
 	"github.com/teaselstack/teaselstack/outcome"
@@ -20,6 +22,9 @@
 // home.
 const maxHops = 2
 
+// errPeerDead ends a relay to a peer that counts as dead.
+var errPeerDead = errors.New("the peer counts as dead")
+
 // relayToHome relays a request to a home. The home acquires a slot before it asks for
 // the body with 100 Continue. The excluded backend servers are not used.
 func (d *Dispatcher) relayToHome(ctx context.Context, req *Request, candidate steering.Candidate, excluded []string) attemptResult {
@@ -35,7 +40,7 @@
 		return withoutResponse(outcome.FromPhase(outcome.NotDispatched, outcome.ReasonLinkFull, "the link to "+candidate.Region+" has no room for this transfer before its deadline"))
 	}
 	defer releaseLink()
-	result := d.relay(ctx, req, address, candidate.Region, func(headers http.Header) {
+	result := d.relay(ctx, req, candidate.Home, address, candidate.Region, func(headers http.Header) {
 		headers.Set(header.InternalServer, roleHome)
 		if req.immediate {
 			headers.Set(header.InternalImmediate, "true")
@@ -74,7 +79,7 @@
 	if configuration := d.Configuration(); configuration.Entry(issuer) != nil {
 		region = configuration.RegionOf(configuration.Entry(issuer).FailureDomain)
 	}
-	result := d.relay(ctx, req, address, region, func(headers http.Header) {
+	result := d.relay(ctx, req, issuer, address, region, func(headers http.Header) {
 		headers.Set(header.InternalServer, roleIssuer)
 	})
 	if result.response != nil || result.fromPeer {
@@ -91,12 +96,13 @@
 	return result
 }
 
-// relay sends a request to the peer at an address in a region. The region is "" if it
+// relay sends a request to a peer at an address in a region. The region is "" if it
 // is not known. The function setRole sets the headers that tell the peer in which role
 // to serve the request, and how.
-func (d *Dispatcher) relay(ctx context.Context, req *Request, address, region string, setRole func(http.Header)) attemptResult {
+func (d *Dispatcher) relay(ctx context.Context, req *Request, peer, address, region string, setRole func(http.Header)) attemptResult {
 	trace := &connectionTrace{}
-	outgoing := d.newOutgoingRequest(trace.withTrace(ctx), req, address)
+	relayCtx, end := context.WithCancelCause(ctx)
+	outgoing := d.newOutgoingRequest(trace.withTrace(relayCtx), req, address)
 	outgoing.Header.Set(header.RequestID, req.ID)
 	outgoing.Header.Set(header.InternalKey, d.PeerKey)
 	outgoing.Header.Set(header.InternalHops, strconv.Itoa(req.Hops+1))
@@ -113,14 +119,27 @@
 		outgoing.ContentLength = req.incoming.ContentLength
 		outgoing.Body = io.NopCloser(d.Links.Pace(ctx, region, req.Service.Class, body))
 	}
+	stopWatch := d.watchRelay(req, peer, body, end)
 	response, err := d.PeerTransport.RoundTrip(outgoing)
+	ended, charged := stopWatch()
+	if ended {
+		// The end of the context cuts the body of a response that came at the same time.
+		if err == nil {
+			closeIgnoringError(response.Body)
+		}
+		err = errPeerDead
+	}
 	if err != nil {
-		return d.relayFailure(ctx, req, body, trace, err)
+		end(nil)
+		result := d.relayFailure(ctx, req, body, trace, err)
+		result.charged = charged
+		return result
 	}
 	statedOutcome := response.Header.Get(header.Outcome)
 	if outcome.ParseKind(statedOutcome) != outcome.Done {
 		req.closeBody(body)
 		closeIgnoringError(response.Body)
+		end(nil)
 		out := outcome.FromPeer(statedOutcome, outcome.Reason(response.Header.Get(header.Reason)), "told by the entry at "+address)
 		out.Status = response.StatusCode
 		return attemptResult{
@@ -131,6 +150,7 @@
 	}
 	if !isFramed(req, response) {
 		closeIgnoringError(response.Body)
+		end(nil)
 		return withoutResponse(outcome.FromPhase(outcome.Dispatched, outcome.ReasonUnframedAnswer, "the entry at "+address))
 	}
 	return attemptResult{
@@ -142,10 +162,39 @@
 			if final.Kind != outcome.Done {
 				trace.close()
 			}
+			end(nil)
 		},
 	}
 }
 
+// watchRelay calls end when the peer of a relay counts as dead, if the request may then be
+// attempted elsewhere: if the peer has read none of its body, or if it is idempotent and the
+// retry budget allows it. Any other request waits on, since a peer that was only silent may
+// still answer. The function stop ends the watch. It reports whether end was called, and
+// whether the retry budget was charged.
+func (d *Dispatcher) watchRelay(req *Request, peer string, body *attemptBody, end context.CancelCauseFunc) (stop func() (ended, charged bool)) {
+	var ended, charged bool
+	if d.WatchDead == nil || !req.elsewhere {
+		return func() (bool, bool) { return false, false }
+	}
+	idempotent := req.Idempotent && req.bodyRest == nil
+	hasBody := req.hasBody()
+	stopWatch := d.WatchDead(peer, func() {
+		ended = hasBody && body.detachUnread()
+		if !ended && idempotent {
+			charged = d.retryBudget.takeToken(req.Service.Name)
+			ended = charged
+		}
+		if ended {
+			end(errPeerDead)
+		}
+	})
+	return func() (bool, bool) {
+		stopWatch()
+		return ended, charged
+	}
+}
+
 // relayFailure returns the result of an attempt whose round trip to a peer failed
 // with err. A home dispatches a request with a body only after it has read some of
 // the body, so a request has not run if none of its body was read.
--- a/entry/dispatch/request.go
+++ b/entry/dispatch/request.go
@@ -47,6 +47,8 @@
 	Hops int
 	// immediate makes the current attempt fail if it would have to wait for a slot.
 	immediate bool
+	// elsewhere is set if another attempt may follow the current one.
+	elsewhere bool
 
 	// incoming is the request as it was received from the caller or a peer.
 	incoming *http.Request
--- a/entry/dispatch/retry_test.go
+++ b/entry/dispatch/retry_test.go
@@ -8,6 +8,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/teaselstack/teaselstack/entry/steering"
+	"github.com/teaselstack/teaselstack/intent"
 )
 
 // setAllServerFaults sets the fault function of all backend servers.
@@ -44,6 +47,78 @@
 	})
 }
 
+// TestRelayToDeadPeer guards against requests that wait for a peer that counts as dead although
+// they may be repeated, and against the loss of late answers to others. All end as done.
+func TestRelayToDeadPeer(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		method   string
+		body     string
+		onlyHome bool
+		// repeated is set if the request must not wait until the peer answers, at
+		// deadline/2, and runs is how often it may run.
+		repeated bool
+		runs     int
+	}{
+		{
+			name:     "idempotent",
+			method:   http.MethodGet,
+			repeated: true,
+			runs:     2,
+		},
+		{
+			name:     "idempotent, no other home",
+			method:   http.MethodGet,
+			onlyHome: true,
+			runs:     1,
+		},
+		{
+			name:     "body not read",
+			method:   http.MethodPost,
+			body:     strings.Repeat("manuscript ", 2000),
+			repeated: true,
+			runs:     1,
+		},
+		{
+			name:   "may run once",
+			method: http.MethodPost,
+			runs:   1,
+		},
+	} {
+		withCluster(t, func(c *cluster) {
+			relaying, home := c.processOf("entry-0"), c.processOf("entry-1")
+			dispatcher := c.entry("entry-0").dispatcher
+			rankHomes := dispatcher.RankHomes
+			dispatcher.RankHomes = func(service *intent.Service, region string) []steering.RankedCandidate {
+				homes := rankHomes(service, region)[1:]
+				if test.onlyHome {
+					return homes[:1]
+				}
+				return homes
+			}
+			c.network.pause(directionName(home, relaying))
+			c.faultTasks.Go(func() {
+				c.wait(deadline / 4)
+				c.countDead("entry-1")
+				c.wait(deadline / 4)
+				c.network.resume(directionName(home, relaying))
+			})
+			start := time.Now()
+			got := c.send(callerRequest{
+				entry:  "entry-0",
+				key:    "own-key",
+				method: test.method,
+				body:   strings.NewReader(test.body),
+			})
+			took := time.Since(start)
+			c.faultTasks.Wait()
+			assert.Equal(t, got.outcome, "done", "%s: %+v", test.name, got)
+			assert.Equal(t, took < deadline/2, test.repeated, "%s: %v", test.name, took)
+			assert.Equal(t, c.runsOfKey("own-key"), test.runs, test.name)
+		})
+	}
+}
+
 // TestRetriesUseOtherBackendServers sends an idempotent request to which all backend
 // servers respond with the ID of another request. It must run four times, the
 // maximum number of attempts, and at most once on each server.
--- a/entry/dispatch/route.go
+++ b/entry/dispatch/route.go
@@ -67,6 +67,7 @@
 		next := planned[0]
 		planned = planned[1:]
 		req.immediate = next.immediate
+		req.elsewhere = attempt+1 < maxAttempts && len(planned) > 0
 		last = d.tryHome(ctx, req, next.candidate, excluded)
 		if last.response != nil {
 			return last
@@ -129,7 +130,7 @@
 	case last.outcome.Kind == outcome.NotRun && last.server == "":
 		return true
 	}
-	if !d.retryBudget.takeToken(req.Service.Name) {
+	if !last.charged && !d.retryBudget.takeToken(req.Service.Name) {
 		metrics.GetOrRegisterCounter("retries.over-budget", d.Metrics).Inc(1)
 		return false
 	}
--- a/entry/membership/membership.go
+++ b/entry/membership/membership.go
@@ -130,7 +130,9 @@
 	// uncontactedSeeds holds the seeds whose first heartbeat has not yet been answered
 	// or failed.
 	uncontactedSeeds map[string]bool
-	group            sync.WaitGroup
+	// deadWatches holds the calls of WatchDead that wait, by the peer's name.
+	deadWatches map[string]map[*deadWatch]struct{}
+	group       sync.WaitGroup
 }
 
 // Option configures a Roster.
@@ -206,6 +208,7 @@
 		partitionedDomains: make(map[string]time.Time),
 		tasks:              make(map[string]*heartbeatTask),
 		uncontactedSeeds:   make(map[string]bool),
+		deadWatches:        make(map[string]map[*deadWatch]struct{}),
 		revision:           1,
 	}
 	roster.selfRevision = roster.revision
--- a/entry/membership/membership_test.go
+++ b/entry/membership/membership_test.go
@@ -135,6 +135,29 @@
 	}
 }
 
+// TestWatchDead guards against relays that are not told, or told twice, of a dead peer.
+func TestWatchDead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var group sync.WaitGroup
+		network := newTestNetwork(1)
+		nodes := network.startNodes(t, &group, sevenMembers())
+		time.Sleep(5 * time.Second)
+		var watched, stopped, late int
+		nodes[6].roster.WatchDead("entry-3", func() { watched++ })
+		nodes[6].roster.WatchDead("entry-3", func() { stopped++ })()
+		network.kill(nodes[2]) // entry-3
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, watched, 0)
+		time.Sleep(10 * time.Second)
+		nodes[6].roster.WatchDead("entry-3", func() { late++ })
+		assert.DeepEqual(t, []int{watched, stopped, late}, []int{1, 0, 1})
+		for _, node := range nodes {
+			node.stop()
+		}
+		group.Wait()
+	})
+}
+
 // TestPeersAcceptNewIncarnationAtSameAddress checks that peers accept a killed entry when
 // it is restarted at the same address with a higher incarnation.
 func TestPeersAcceptNewIncarnationAtSameAddress(t *testing.T) {
--- a/entry/membership/state.go
+++ b/entry/membership/state.go
@@ -154,6 +154,42 @@
 	return Alive
 }
 
+// deadWatch is a call of WatchDead.
+type deadWatch struct {
+	onDead func()
+}
+
+// WatchDead calls onDead once when the peer with a name becomes dead, at once if it is. The
+// roster's lock is held during the call. No call begins after stop has returned.
+func (r *Roster) WatchDead(name string, onDead func()) (stop func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if peer := r.peers[name]; peer != nil && peer.State == Dead {
+		onDead()
+		return func() {}
+	}
+	watch := &deadWatch{
+		onDead: onDead,
+	}
+	if r.deadWatches[name] == nil {
+		r.deadWatches[name] = make(map[*deadWatch]struct{})
+	}
+	r.deadWatches[name][watch] = struct{}{}
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.deadWatches[name], watch)
+	}
+}
+
+// notifyDead calls the functions that watch a peer that has become dead.
+func (r *Roster) notifyDead(name string) {
+	for watch := range r.deadWatches[name] {
+		watch.onDead()
+	}
+	delete(r.deadWatches, name)
+}
+
 // setState changes a peer's state and records an event. A change to Dead also sets
 // declaredDead if this entry monitors the peer, unless the entries form a full mesh. The
 // next deltas contain the peer's record if its state changed from or to Alive, or if
@@ -171,6 +207,9 @@
 	if changed {
 		r.markChanged(peer)
 	}
+	if state == Dead {
+		r.notifyDead(peer.Member.GetName())
+	}
 	r.aliveMembers = nil
 	r.events.Record(timeline.Event{
 		Kind:   "member-" + string(state),
--- a/entry/node.go
+++ b/entry/node.go
@@ -247,6 +247,7 @@
 		Configuration:    n.keeper.Serving,
 		RankHomes:        n.loadView.RankHomes,
 		PeerAddress:      n.peerAddress,
+		WatchDead:        n.roster.WatchDead,
 		ReportHealth:     n.health.Observe,
 		TrackInFlight:    n.loadView.TrackInFlight,
 		Slots:            n.slots,
