entry: the stop of the own interface answers what it received

Callers saw, in a planned stop: an answer cut off by a connection reset, if they sent the next request before they had read it; a connection that ended without an answer to a request that was received behind another one, or on an idle connection at the end of the stop.

Cause: each answer closed its connection, whatever had been received behind it, and the stop relied on http.Server.Shutdown, which closes idle connections at once.

Now pipeline.Handler is in front of the callers' server, starts nothing early, and is drained once the dispatcher has no request in flight. The dispatcher then refuses as not run, with the address of another entry, what still arrives. StopTimeout bounds all of it, as before.

--- a/entry/handlers.go
+++ b/entry/handlers.go
@@ -11,6 +11,7 @@
 	teaselv1 "github.com/teaselstack/teaselstack/api/teasel/v1"
 	"github.com/teaselstack/teaselstack/api/teasel/v1/teaselv1connect"
 	"github.com/teaselstack/teaselstack/entry/operator"
+	"github.com/teaselstack/teaselstack/entry/pipeline"
 	"github.com/teaselstack/teaselstack/header"
 )
 
@@ -30,7 +31,22 @@
 	mux := http.NewServeMux()
 	mux.Handle(teaselv1connect.NewLookupServiceHandler(n.lookupServer, connect.WithCompressMinBytes(minCompressBytes), connect.WithReadMaxBytes(n.settings.Limits.HeaderBytes)))
 	mux.HandleFunc("/", n.dispatcher.ServeCaller)
-	return withRequestMetrics(n.metrics, n.withShutdownHeaders(limitHeaderBytes(n.settings.Limits.HeaderBytes, mux)))
+	return withRequestMetrics(n.metrics, n.withRetryAt(limitHeaderBytes(n.settings.Limits.HeaderBytes, mux)))
+}
+
+// newPipeline returns the handler of the callers' server. During a graceful shutdown, it closes
+// each connection after the last of its requests. It starts no requests early.
+func (n *node) newPipeline() *pipeline.Handler {
+	handler := n.callersHandler()
+	return &pipeline.Handler{
+		Next: handler,
+		// By then, the dispatcher refuses all requests, with the address of another entry.
+		Refuse:          handler,
+		Idempotent:      func(*http.Request) bool { return false },
+		ShuttingDown:    n.shuttingDown.Load,
+		RequestIDHeader: header.IdempotencyKey,
+		Logger:          n.logger,
+	}
 }
 
 // peersHandler serves callers' requests that peers relay, which have the header
--- a/entry/node.go
+++ b/entry/node.go
@@ -21,6 +21,7 @@
 	"github.com/teaselstack/teaselstack/entry/link"
 	"github.com/teaselstack/teaselstack/entry/lookup"
 	"github.com/teaselstack/teaselstack/entry/membership"
+	"github.com/teaselstack/teaselstack/entry/pipeline"
 	"github.com/teaselstack/teaselstack/entry/quarantine"
 	"github.com/teaselstack/teaselstack/entry/settings"
 	"github.com/teaselstack/teaselstack/entry/slot"
@@ -68,6 +69,9 @@
 	dispatcher *dispatch.Dispatcher
 	// lookupServer answers look-ups.
 	lookupServer *lookup.Server
+	// pipeline passes callers' requests on and counts those that are not yet answered, for a
+	// graceful shutdown.
+	pipeline *pipeline.Handler
 	// peerClient sends calls to the other entries.
 	peerClient *http.Client
 	// ownership is this process's right to act for the entry, with its incarnation. It
@@ -181,6 +185,7 @@
 		Stopping:       func() bool { return n.roster.Self().GetStopping() },
 		Region:         loaded.Region,
 	}
+	n.pipeline = n.newPipeline()
 	return n
 }
 
@@ -316,12 +321,15 @@
 	group.Go(func() { n.health.Run(background) })
 	group.Go(func() { n.keys.Run(background) })
 	failures := make(chan error, 3)
+	callerServer := n.newServer(n.pipeline)
+	callerServer.ConnContext = n.pipeline.ConnContext
+	callerServer.ConnState = n.pipeline.ConnState
 	servers := []*http.Server{
-		n.newServer(n.callersHandler()),
+		callerServer,
 		n.newServer(n.peersHandler()),
 		n.newServer(n.operatorsHandler()),
 	}
-	for i, listener := range []net.Listener{open.callers, open.peers, open.operators} {
+	for i, listener := range []net.Listener{n.pipeline.Listener(open.callers), open.peers, open.operators} {
 		group.Go(func() {
 			if err := servers[i].Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 				failures <- err
--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -18,10 +18,10 @@
 
 // shutdown stops this entry gracefully. It removes the entry from look-ups, accepts
 // requests until the answers that callers cache have expired, except those whose deadline is
-// after StopTimeout, then refuses new requests and waits for those in flight. The HTTP servers, including the one for peers, are
-// closed last. A process that has lost the ownership of the entry refuses new requests
-// at once. If StopTimeout ends while requests are in flight, shutdown abandons them and
-// returns an error.
+// after StopTimeout, then refuses new requests, waits for those in flight and until their
+// answers are written. The HTTP servers, including the one for peers, are closed last. A
+// process that has lost the ownership of the entry refuses new requests at once. If StopTimeout
+// ends while requests are in flight, shutdown abandons them and returns an error.
 func (n *node) shutdown(servers []*http.Server) error {
 	n.shuttingDown.Store(true)
 	n.roster.UpdateSelf(func(self *teaselv1.Member) { self.Stopping = true })
@@ -35,6 +35,9 @@
 	n.recordShutdownStep("entry-refusing")
 	err := n.dispatcher.Shutdown(ctx)
 	n.recordShutdownStep("entry-stopped")
+	if drainErr := n.pipeline.Drain(ctx); err == nil {
+		err = drainErr
+	}
 	for _, server := range servers {
 		if shutdownErr := server.Shutdown(ctx); err == nil {
 			err = shutdownErr
@@ -80,16 +83,10 @@
 	}
 }
 
-// withShutdownHeaders adds the response headers that make callers of an entry that shuts
-// down connect to another entry. A connection is closed after a response rather than
-// while it is idle, since a request may already be on its way on an idle connection.
-// Once requests are refused, every response has header.RetryAt, which is empty if no
-// other entry serves.
-func (n *node) withShutdownHeaders(next http.Handler) http.Handler {
+// withRetryAt adds header.RetryAt, with the address of another entry, to every response once
+// requests are refused. It is empty if no other entry serves.
+func (n *node) withRetryAt(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if n.shuttingDown.Load() {
-			w.Header().Set("Connection", "close")
-		}
 		if n.refusingRequests.Load() {
 			w.Header().Set(header.RetryAt, n.nearestServingAddress())
 		}
