entry/registry: a forgotten history is no confirmation

Cause: by the log, the entry asked for changes 1.4 s after the drain, when its pause ended, and was told that the history is gone. That counted as an answer that nothing has changed: the table counted as confirmed, for the age in the log, servers that are cold or survive as well, and the full read only followed after the pause between two polls, 1.25 s later. Change: the full read follows at once, and nothing is confirmed before. The long poll is computed for each call, which 'reads of the store keep to the undisturbed window of the current settings' claims, but which the tables' loops did once. Evidence: TestHistoryGoneIsNoConfirmation failed before (confirmed 7 ms ago).

--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -143,8 +143,6 @@
 type tableWatch struct {
 	store *platform.Client
 	table string
-	// longPoll is how long the store may hold a call until a row changes.
-	longPoll time.Duration
 	// pauses reports whether there is a pause after a successful call.
 	pauses bool
 	// replace is called with all rows of the table after a full read, and apply with
@@ -155,22 +153,20 @@
 
 func (r *Registry) operatorWatch() tableWatch {
 	return tableWatch{
-		store:    r.OperatorStore,
-		table:    platform.OperatorTable,
-		longPoll: r.longPoll(),
-		replace:  r.replaceOperatorRows,
-		apply:    r.applyOperatorRows,
+		store:   r.OperatorStore,
+		table:   platform.OperatorTable,
+		replace: r.replaceOperatorRows,
+		apply:   r.applyOperatorRows,
 	}
 }
 
 func (r *Registry) serverWatch() tableWatch {
 	return tableWatch{
-		store:    r.ServerStore,
-		table:    platform.ServerTable,
-		longPoll: r.longPoll(),
-		pauses:   true,
-		replace:  r.replaceServerRows,
-		apply:    r.applyServerRows,
+		store:   r.ServerStore,
+		table:   platform.ServerTable,
+		pauses:  true,
+		replace: r.replaceServerRows,
+		apply:   r.applyServerRows,
 	}
 }
 
@@ -204,6 +200,10 @@
 			sleep(ctx, delay/2+rand.N(delay/2))
 			continue
 		}
+		if err == nil && !loaded {
+			// The history is gone: nothing is known until the full read that follows.
+			continue
+		}
 		if failing {
 			failing = false
 			r.Logger.Info().Str("event", "store-regained").Str("table", watched.table).Uint64("version", version).Msg("")
@@ -238,7 +238,7 @@
 // outage, so that its timeout is shorter. If the store no longer has the changes since version,
 // the table counts as not loaded, so that the next call is a full read.
 func (r *Registry) poll(ctx context.Context, watched tableWatch, version uint64, loaded, failing bool) (uint64, bool, error) {
-	longPoll := watched.longPoll
+	longPoll := r.longPoll()
 	if failing {
 		longPoll = 0
 	}
--- a/entry/registry/registry_test.go
+++ b/entry/registry/registry_test.go
@@ -303,6 +303,28 @@
 	})
 }
 
+// TestHistoryGoneIsNoConfirmation guards against a server that gets requests for another pause
+// between two polls although it is draining, because the store's answer that it has no more
+// history counts as one that nothing has changed.
+func TestHistoryGoneIsNoConfirmation(t *testing.T) {
+	testRegistry(t, func(t *testing.T, r *recordingRegistry) {
+		r.ServerPollPause = func() time.Duration { return 5 * time.Second }
+		r.runWithTwoServers()
+		r.store.SetFault(store.Fault{
+			Outage: store.OutageRefuse,
+		})
+		time.Sleep(11 * time.Second)
+		r.putServer("b", "draining", 2)
+		r.store.Compact()
+		r.store.SetFault(store.Fault{})
+		for draining := false; !draining; _, draining, _ = r.serverState("b") {
+			age, known := r.TableAge(platform.ServerTable)
+			assert.Assert(t, known && age >= 5*time.Second, "confirmed %s ago", age)
+			time.Sleep(10 * time.Millisecond)
+		}
+	})
+}
+
 // TestMissingRegistrationAfterOutageIsDoubtfulThenGone: a server whose registration
 // is missing after an outage is doubtful until two seconds after the last failed call
 // and then removed, even if no row changes at that time. A server that registers again
--- a/standin/gate/soak_test.go
+++ b/standin/gate/soak_test.go
@@ -216,7 +216,9 @@
 //     the exit, before that of the second.
 //   - 9011 lets three servers lose answers; the requests were refused as quarantined for longer
 //     than the callers wait, since servers that live on counted as crashed.
-var regressionSeeds = []uint64{17, 9011}
+//   - 52045 drains a server while an entry is paused, and compacts the history of the store; the
+//     entry went on for one more pause between two polls before it read the table.
+var regressionSeeds = []uint64{17, 9011, 52045}
 
 // TestSoak injects randomly chosen faults, one after another and overlapping,
 // while callers keep their connections open. The seed determines the faults
