entry/gateway: the log names the content of a lost request

A request that crashes servers was sent on under 178 digests or more. The log could not tell whether these were different requests, or one of several callers: the digest contains the caller's address. The line on a lost request now also names a digest without it.

--- a/entry/gateway/body.go
+++ b/entry/gateway/body.go
@@ -149,16 +149,23 @@
 }
 
 // setDigest computes the digest by which the quarantine recognises a request that a
-// caller repeats under another ID: a hash of the caller's address, the method, the URI
-// and the beginning of the body.
+// caller repeats under another ID, a hash of the caller's address and of the content, and
+// contentDigest, a hash of the content alone: the method, the URI and the beginning of the
+// body.
 func (r *proxyRequest) setDigest() {
+	r.contentDigest = r.hash(r.incoming.Method, r.incoming.URL.RequestURI())
+	r.digest = r.hash(r.callerHost(), r.incoming.Method, r.incoming.URL.RequestURI())
+}
+
+// hash returns a digest of parts and of the beginning of the body.
+func (r *proxyRequest) hash(parts ...string) quarantine.Digest {
 	digest := sha256.New()
-	for _, part := range []string{r.callerHost(), r.incoming.Method, r.incoming.URL.RequestURI()} {
+	for _, part := range parts {
 		var length [4]byte
 		binary.BigEndian.PutUint32(length[:], uint32(len(part)))
 		digest.Write(length[:])
 		digest.Write([]byte(part))
 	}
 	digest.Write(r.body.prefix[:min(len(r.body.prefix), digestBodyBytes)])
-	r.digest = quarantine.Digest(digest.Sum(nil)[:len(quarantine.Digest{})])
+	return quarantine.Digest(digest.Sum(nil)[:len(quarantine.Digest{})])
 }
--- a/entry/gateway/forward.go
+++ b/entry/gateway/forward.go
@@ -285,7 +285,7 @@
 	if result.failure != nil {
 		line = line.Str("failure", result.failure.Error()).Bool("reused", result.failure.ConnReused)
 	}
-	line.Str("reason", string(result.reason)).Str("digest", req.digest.String()).Bool("again", retry).
+	line.Str("reason", string(result.reason)).Str("digest", req.digest.String()).Str("content", req.contentDigest.String()).Bool("again", retry).
 		Int("repeats-left", g.RetryBudget.RetriesLeft(req.service, req.callerRetry)).Msg("")
 }
 
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -89,8 +89,9 @@
 	id            string
 	// objectHash identifies the object that the request concerns, for placement.
 	objectHash uint64
-	// digest identifies the request for the quarantine.
-	digest quarantine.Digest
+	// digest identifies the request for the quarantine, contentDigest whoever sends it.
+	digest        quarantine.Digest
+	contentDigest quarantine.Digest
 	// trial reports whether the request runs although it is quarantined, see BeginTrial.
 	trial   bool
 	arrival time.Time
