--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -156,6 +156,9 @@
 	mu        sync.Mutex
 	fault     Fault
 	statement Statement
+	// deadly and crashed are set by SetDeadly.
+	deadly  func(*http.Request) bool
+	crashed func()
 	// arrivals holds when requests arrived since the last SetStatement.
 	arrivals []time.Time
 	// startUnixMS identifies the incarnation: the time of the last Start.
@@ -257,6 +260,14 @@
 	s.fault = fault
 }
 
+// SetDeadly makes those requests crash the server, once it begins to run them, for which deadly
+// returns true. The server calls crashed before its connections break.
+func (s *Server) SetDeadly(deadly func(*http.Request) bool, crashed func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deadly, s.crashed = deadly, crashed
+}
+
 // SetStatement replaces what the server states about itself, and forgets the requests that
 // have arrived.
 func (s *Server) SetStatement(statement Statement) {
@@ -330,8 +341,10 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), parseTimeout(r.Header.Get(names.DeadlineMS)))
 	defer cancel()
-	ran := s.runInSlot(ctx, id, fault)
+	ran, crashed := s.runInSlot(ctx, r, fault)
 	switch {
+	case crashed:
+		panic(http.ErrAbortHandler)
 	case !ran:
 		w.Header().Set(names.NotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -426,25 +439,30 @@
 }
 
 // runInSlot waits for a slot, records the run and simulates the work of a request
-// until the work or ctx is done. It returns false if ctx was done before a slot was
-// free.
-func (s *Server) runInSlot(ctx context.Context, id string, fault Fault) bool {
+// until the work or ctx is done. ran is false if ctx was done before a slot was free;
+// crashed reports whether the request has crashed the server.
+func (s *Server) runInSlot(ctx context.Context, r *http.Request, fault Fault) (ran, crashed bool) {
+	id := r.Header.Get(platform.HeaderNames.RequestID)
 	select {
 	case s.slotTokens <- struct{}{}:
 	case <-ctx.Done():
 		s.addCounts(-1, 0)
-		return false
+		return false, false
 	}
 	defer func() { <-s.slotTokens }()
 	s.addCounts(-1, 1)
 	defer s.addCounts(0, -1)
 	s.mu.Lock()
-	drainingSince := s.drainingSince
+	drainingSince, deadly := s.drainingSince, s.deadly
 	s.mu.Unlock()
 	s.Recorder.recordRun(id)
 	if !drainingSince.IsZero() && time.Since(drainingSince) > s.DrainTime {
 		s.Recorder.recordLateStart(fmt.Sprintf("%s at %s, %s after the start of its drain", id, s.ID, time.Since(drainingSince)))
 	}
+	if deadly != nil && deadly(r) {
+		s.crashByRequest()
+		return true, true
+	}
 	workTime := s.WorkTime
 	if s.Work != nil {
 		workTime = s.Work(id)
@@ -456,7 +474,22 @@
 	case <-work.C:
 	case <-ctx.Done():
 	}
-	return true
+	return true, false
+}
+
+// crashByRequest is like Crash for a request that the server runs: it does not wait for the
+// handlers in flight.
+func (s *Server) crashByRequest() {
+	s.mu.Lock()
+	server, crashed := s.httpServer, s.crashed
+	s.httpServer = nil
+	s.mu.Unlock()
+	if server == nil {
+		return
+	}
+	crashed()
+	// Close, unlike Shutdown, breaks the requests in flight, as a crash does.
+	_ = server.Close()
 }
 
 // addCounts adds to the numbers of waiting and running requests.
