entry: a request that crashes servers is one request whoever sends it

What callers saw: servers kept crashing, since a request that each of many callers sends was refused to each of them only after it had crashed three servers for that caller.

Cause: the digest of the quarantine contained the caller's address. Without it, others' successes would clear, and a quarantine would refuse, what only one caller makes deadly. So failures are now counted, and cleared, at three levels: for the content, for the content as one caller sends it, and for that with the same header. While one caller or one failure domain explains the failures of a content, the next request without that in common is an early trial, on a server of another failure domain, and others wait for it.

News of suspects: those told least often come first. The bounds of lists and rows do not drop quarantines before 4,096 and 1,024.

--- a/entry/dispatch/forward.go
+++ b/entry/dispatch/forward.go
@@ -114,7 +114,9 @@
 		case err != nil:
 			return nil, nil, outcome.FromPhase(outcome.NotDispatched, outcome.ReasonNoRoom, err.Error())
 		}
-		endSuspectRun, allowed := d.Quarantine.Admit(quarantine.Digest(req.Digest), grant.Server.Name)
+		endSuspectRun, allowed := d.Quarantine.Admit(quarantine.Request{
+			Content: quarantine.Digest(req.Digest),
+		}, grant.Server.Name)
 		if allowed {
 			return grant, endSuspectRun, outcome.Outcome{}
 		}
--- a/entry/gateway/body.go
+++ b/entry/gateway/body.go
@@ -5,7 +5,10 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -88,7 +91,7 @@
 	}
 	if incoming.Body == nil || incoming.Body == http.NoBody {
 		req.body.length = 0
-		req.setDigest()
+		g.setIdentity(req)
 		return nil
 	}
 	if req.maxBodyBytes > 0 {
@@ -114,7 +117,7 @@
 	} else {
 		req.body.remainder = incoming.Body
 	}
-	req.setDigest()
+	g.setIdentity(req)
 	// The route's timeout starts again, so that responseDeadline doesn't count the time
 	// that the caller took to send the body. The deadline of ServeHTTP's context stays.
 	if req.route.Timeout > 0 {
@@ -148,17 +151,29 @@
 	g.bufferedBytes.Add(-int64(len(req.body.prefix)))
 }
 
-// setDigest computes the digest by which the quarantine recognises a request that a
-// caller repeats under another ID, a hash of the caller's address and of the content, and
-// contentDigest, a hash of the content alone: the method, the URI and the beginning of the
-// body.
-func (r *proxyRequest) setDigest() {
-	r.contentDigest = r.hash(r.incoming.Method, r.incoming.URL.RequestURI())
-	r.digest = r.hash(r.callerHost(), r.incoming.Method, r.incoming.URL.RequestURI())
+// setIdentity computes the digests by which the quarantine recognises a request that comes
+// again under another ID. That of the content is a hash of the route's host, the method, the
+// URI and the beginning of the body.
+func (g *Gateway) setIdentity(req *proxyRequest) {
+	content := hashParts(req.route.Host, req.incoming.Method, req.incoming.URL.RequestURI(),
+		string(req.body.prefix[:min(len(req.body.prefix), digestBodyBytes)]))
+	caller := hashParts(string(content[:]), req.callerHost())
+	exact := []string{string(caller[:])}
+	names := slices.Sorted(maps.Keys(req.incoming.Header))
+	for _, name := range names {
+		if name != g.HeaderNames.RequestID && name != g.HeaderNames.DeadlineMS {
+			exact = append(append(exact, name, strconv.Itoa(len(req.incoming.Header[name]))), req.incoming.Header[name]...)
+		}
+	}
+	req.identity = quarantine.Request{
+		Content: content,
+		Caller:  caller,
+		Exact:   hashParts(exact...),
+	}
 }
 
-// hash returns a digest of parts and of the beginning of the body.
-func (r *proxyRequest) hash(parts ...string) quarantine.Digest {
+// hashParts returns a digest of texts.
+func hashParts(parts ...string) quarantine.Digest {
 	digest := sha256.New()
 	for _, part := range parts {
 		var length [4]byte
@@ -166,6 +181,5 @@
 		digest.Write(length[:])
 		digest.Write([]byte(part))
 	}
-	digest.Write(r.body.prefix[:min(len(r.body.prefix), digestBodyBytes)])
 	return quarantine.Digest(digest.Sum(nil)[:len(quarantine.Digest{})])
 }
--- a/entry/gateway/forward.go
+++ b/entry/gateway/forward.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/teaselstack/teaselstack/entry/placement"
+	"github.com/teaselstack/teaselstack/entry/quarantine"
 	"github.com/teaselstack/teaselstack/entry/upstream"
 	"github.com/teaselstack/teaselstack/header"
 	"github.com/teaselstack/teaselstack/outcome"
@@ -60,9 +61,8 @@
 	req.callerRetry = g.isCallerRetry(req)
 	req.failureReason = outcome.ReasonNoRoom
 	defer req.discardFallback()
-	if g.beginTrial(ctx, req) {
-		req.trial = true
-		defer func() { g.EndTrial(req.digest, req.sentAttempts, req.mayHaveRun) }()
+	if req.trial = g.beginTrial(ctx, req); req.trial != nil {
+		defer func() { g.EndTrial(req.trial, req.sentAttempts, req.mayHaveRun) }()
 	}
 	for retry := true; retry; {
 		if reason := g.stopReason(ctx, req); reason != "" {
@@ -82,21 +82,21 @@
 	g.finishAfterFailure(ctx, w, req)
 }
 
-// beginTrial reports whether a request may run although it is quarantined. It waits for that until
-// the request's deadline at most.
-func (g *Gateway) beginTrial(ctx context.Context, req *proxyRequest) bool {
+// beginTrial returns a trial if a request may run although it is quarantined. It waits for that
+// until the request's deadline at most.
+func (g *Gateway) beginTrial(ctx context.Context, req *proxyRequest) *quarantine.Trial {
 	if g.BeginTrial == nil {
-		return false
+		return nil
 	}
 	ctx, cancel := context.WithDeadline(ctx, req.responseDeadline)
 	defer cancel()
-	return g.BeginTrial(ctx, req.digest)
+	return g.BeginTrial(ctx, req.identity)
 }
 
 // stopReason returns why no further attempt may be made, or "" if one may.
 func (g *Gateway) stopReason(ctx context.Context, req *proxyRequest) outcome.Reason {
 	switch {
-	case !req.trial && g.Quarantine.Quarantined(req.digest):
+	case req.trial == nil && g.Quarantine.Refused(req.identity):
 		return outcome.ReasonQuarantined
 	case time.Until(req.responseDeadline) < minTimeToSend || ctx.Err() != nil:
 		return g.endReason(req)
@@ -132,7 +132,7 @@
 // refused the request, chooseServer records the best candidate, and the reason if
 // nothing was sent before.
 func (g *Gateway) chooseServer(req *proxyRequest) (placement.Choice, bool) {
-	choice, refusalReason := g.Fleet.Choose(&placement.Request{
+	request := &placement.Request{
 		Service:        req.service,
 		Object:         req.objectHash,
 		Kind:           req.route.Kind,
@@ -141,7 +141,11 @@
 		Waited:         time.Since(req.arrival),
 		CallerRetry:    req.callerRetry,
 		TriedServerIDs: req.triedServerIDs,
-	})
+	}
+	if req.trial != nil {
+		request.AvoidDomain = req.trial.Avoids
+	}
+	choice, refusalReason := g.Fleet.Choose(request)
 	if refusalReason != placement.RefusalNone {
 		req.bestCandidate = &choice
 		if req.sentAttempts == 0 {
@@ -224,7 +228,7 @@
 	result := attempt{
 		choice: choice,
 	}
-	release, allowed := g.Quarantine.Admit(req.digest, incarnationKey(&choice.Server))
+	release, allowed := g.Quarantine.Admit(req.identity, incarnationKey(&choice.Server))
 	if !allowed {
 		g.Fleet.Done(&choice, placement.SignalNone, nil, 0)
 		result.reason = outcome.ReasonQuarantined
@@ -285,7 +289,8 @@
 	if result.failure != nil {
 		line = line.Str("failure", result.failure.Error()).Bool("reused", result.failure.ConnReused)
 	}
-	line.Str("reason", string(result.reason)).Str("digest", req.digest.String()).Str("content", req.contentDigest.String()).Bool("again", retry).
+	line.Str("reason", string(result.reason)).Str("digest", req.identity.Caller.String()).Str("content", req.identity.Content.String()).
+		Str("exact", req.identity.Exact.String()).Bool("again", retry).
 		Int("repeats-left", g.RetryBudget.RetriesLeft(req.service, req.callerRetry)).Msg("")
 }
 
@@ -373,15 +378,25 @@
 		result.signal = placement.SignalBroken
 	}
 	if failure.ConnBroken && result.signal == placement.SignalBroken {
-		g.Quarantine.RecordFailure(req.digest, req.service, incarnationKey(&result.choice.Server))
+		g.Quarantine.RecordRunFailure(req.run(&result.choice.Server))
 	}
 	result.mayHaveRun = true
 }
 
+// run describes a run of the request on a server to the quarantine.
+func (r *proxyRequest) run(server *routing.Server) quarantine.Run {
+	return quarantine.Run{
+		Request:       r.identity,
+		Service:       r.service,
+		Server:        incarnationKey(server),
+		FailureDomain: server.FailureDomain,
+	}
+}
+
 // recordUnanswered reports to the quarantine that a server did not answer a request in time.
 func (g *Gateway) recordUnanswered(req *proxyRequest, server *routing.Server) {
 	incarnation := server.Incarnation()
-	g.Quarantine.RecordUnanswered(req.digest, req.service, incarnationKey(server), func() bool {
+	g.Quarantine.RecordUnanswered(req.run(server), func() bool {
 		return g.Fleet.Registered(incarnation)
 	})
 }
@@ -407,7 +422,7 @@
 // the retry from the budget.
 func (g *Gateway) mayRetry(req *proxyRequest, result *attempt) bool {
 	switch {
-	case req.trial,
+	case req.trial != nil,
 		req.sentAttempts >= req.route.MaxAttempts,
 		result.mayHaveRun && !req.idempotent(),
 		!req.body.replayable(),
@@ -483,6 +498,6 @@
 // error of the server.
 func (g *Gateway) recordCompletion(req *proxyRequest, response *upstream.Response) {
 	if response.StatusCode < http.StatusInternalServerError {
-		g.Quarantine.RecordSuccess(req.digest)
+		g.Quarantine.RecordRequestSuccess(req.identity)
 	}
 }
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -43,11 +43,11 @@
 	RetryBudget *RetryBudget
 	// Quarantine holds the requests that are suspected of crashing servers.
 	Quarantine *quarantine.List
-	// BeginTrial reports whether a quarantined request may run all the same, at one server.
-	// EndTrial is called when the request has ended, with the number of servers that it was sent
+	// BeginTrial returns a trial if a quarantined request may run all the same, at one server, and
+	// nil otherwise. EndTrial is called when the request has ended, with the number of servers that it was sent
 	// to, and whether one of them may have run it. Without BeginTrial, none may.
-	BeginTrial func(ctx context.Context, digest quarantine.Digest) bool
-	EndTrial   func(digest quarantine.Digest, sends int, mayHaveRun bool)
+	BeginTrial func(ctx context.Context, request quarantine.Request) (trial *quarantine.Trial)
+	EndTrial   func(trial *quarantine.Trial, sends int, mayHaveRun bool)
 	// RegistrationsAge returns the time since the servers' registrations were last read
 	// from the store. known is false if they were never read.
 	RegistrationsAge func() (age time.Duration, known bool)
@@ -89,11 +89,10 @@
 	id            string
 	// objectHash identifies the object that the request concerns, for placement.
 	objectHash uint64
-	// digest identifies the request for the quarantine, contentDigest whoever sends it.
-	digest        quarantine.Digest
-	contentDigest quarantine.Digest
-	// trial reports whether the request runs although it is quarantined, see BeginTrial.
-	trial   bool
+	// identity identifies the request for the quarantine.
+	identity quarantine.Request
+	// trial is set if the request runs although it is quarantined, see BeginTrial.
+	trial   *quarantine.Trial
 	arrival time.Time
 	// callerDeadline is when the caller stops waiting. responseDeadline is when the
 	// response is due: at callerDeadline, or earlier if the route's timeout expires
--- a/entry/gateway/quarantine_test.go
+++ b/entry/gateway/quarantine_test.go
@@ -138,9 +138,9 @@
 // the store of the trials doesn't answer.
 func TestTrialWaitsUntilDeadline(t *testing.T) {
 	withHarness(t, respondOK, []string{"a"}, func(t *testing.T, h *harness) {
-		h.gateway.BeginTrial = func(ctx context.Context, _ quarantine.Digest) bool {
+		h.gateway.BeginTrial = func(ctx context.Context, _ quarantine.Request) *quarantine.Trial {
 			<-ctx.Done()
-			return false
+			return nil
 		}
 		request := newRequest(http.MethodGet, "/browse/1", "r1", "")
 		request.Header.Set(headerNames.DeadlineMS, "300")
--- a/entry/gateway/refusal.go
+++ b/entry/gateway/refusal.go
@@ -108,7 +108,7 @@
 	g.recordMetrics(req, reply.status)
 	line := g.addDecision(g.warnLine(req, "refused"), req, req.bestCandidate).Int("status", reply.status).Str("reason", string(reply.reason))
 	if reply.reason == outcome.ReasonQuarantined {
-		line = line.Str("digest", req.digest.String())
+		line = line.Str("digest", req.identity.Caller.String()).Str("content", req.identity.Content.String())
 	}
 	line.Int64("retry-after-ms", reply.retryAfter.Milliseconds()).
 		Int64("total-ms", time.Since(req.arrival).Milliseconds()).Msg("")
@@ -140,7 +140,7 @@
 	case errors.Is(remainder.err, os.ErrDeadlineExceeded):
 		g.recordUnanswered(req, server)
 	default:
-		g.Quarantine.RecordFailure(req.digest, req.service, incarnationKey(server))
+		g.Quarantine.RecordRunFailure(req.run(server))
 	}
 	g.warnLine(req, "broken-off").Str("failure", err.Error()).
 		Int64("total-ms", time.Since(req.arrival).Milliseconds()).Msg("")
--- a/entry/placement/placement.go
+++ b/entry/placement/placement.go
@@ -214,6 +214,9 @@
 	CallerRetry bool
 	// TriedServerIDs are the servers chosen for earlier attempts, which are excluded.
 	TriedServerIDs []string
+	// AvoidDomain, if not nil, reports whether the servers of a failure domain are excluded
+	// as long as there are others.
+	AvoidDomain func(name string) bool
 }
 
 // Choice is a server chosen for a request, with the values that the choice was
--- a/entry/placement/rank.go
+++ b/entry/placement/rank.go
@@ -43,6 +43,13 @@
 	if float64(failing) <= panicThreshold*float64(len(order)) && failing < len(order) {
 		order = slices.DeleteFunc(order, func(candidate scored) bool { return candidate.failing })
 	}
+	avoided := func(candidate scored) bool {
+		return request.AvoidDomain != nil && request.AvoidDomain(candidate.server.FailureDomain)
+	}
+	if !slices.ContainsFunc(order, func(candidate scored) bool { return !avoided(candidate) }) {
+		avoided = func(scored) bool { return false }
+	}
+	order = slices.DeleteFunc(order, avoided)
 	slices.SortFunc(order, func(a, b scored) int {
 		if a.server.doubtful != b.server.doubtful {
 			if b.server.doubtful {
--- a/entry/platform_node.go
+++ b/entry/platform_node.go
@@ -266,6 +266,10 @@
 	if failure.SeenHere {
 		n.tracker.UpdateRow()
 	}
+	if failure.OneCaller && !failure.Quarantined {
+		// The line on the content says the same.
+		return
+	}
 	n.logger.Warn().Str("event", "suspect").Str("digest", failure.Digest.String()).Str("service", failure.Service).
 		Str("server", failure.Server).Bool("from-peer", failure.FromPeer).Int("failures", failure.Count).
 		Bool("quarantined", failure.Quarantined).Msg("")
--- a/entry/platform_site_test.go
+++ b/entry/platform_site_test.go
@@ -270,9 +270,9 @@
 	told map[int]time.Time
 	// arrivals holds the requests in the order of their arrival.
 	arrivals []siteArrival
-	// crash, if not nil, is called with the path of each request. If it returns true, the server
-	// has crashed while it ran the request.
-	crash func(path string) bool
+	// crash, if not nil, is called with each request. If it returns true, the server has crashed
+	// while it ran the request.
+	crash func(request *http.Request) bool
 }
 
 // siteArrival is the arrival of a request of an entry at a server.
@@ -334,7 +334,7 @@
 		if !s.refusing(entry) {
 			time.Sleep(s.workTime)
 		}
-		if s.crash != nil && s.crash(request.URL.Path) {
+		if s.crash != nil && s.crash(request) {
 			return
 		}
 		if _, err := io.WriteString(conn, s.response(entry, request.Header.Get("X-Teaselstack-Request-Id"))); err != nil {
--- a/entry/platform_trials.go
+++ b/entry/platform_trials.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/hex"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -49,12 +50,11 @@
 const (
 	// trialsRow is the name of the row with the claims to trials.
 	trialsRow = "trials"
-	// maxTrialClaims is the maximum number of claims in the row. The oldest go first.
-	maxTrialClaims = 256
-	// maxTrialSends is the maximum number of servers that a request is sent to under one claim,
-	// if the first rejects it without running it. The platform accepts three retries of a request
-	// that has crashed three servers.
-	maxTrialSends = 2
+	// maxTrialClaims is the maximum number of claims in the row, which holds 64 KiB. The oldest go
+	// first.
+	maxTrialClaims = 1024
+	// trialPollInterval is the time between two checks for the result of an early trial.
+	trialPollInterval = 25 * time.Millisecond
 	// trialRowTimeout is the timeout of reading and writing the row. A request waits for it.
 	trialRowTimeout = 700 * time.Millisecond
 	// maxTrialCommits is the maximum number of attempts to write the row, which other entries
@@ -75,80 +75,141 @@
 	}
 }
 
-// begin reports whether a quarantined request may run now, as its trial. If so, the caller must
-// call end.
-func (t *trials) begin(ctx context.Context, digest quarantine.Digest) bool {
-	if !t.suspects.BeginTrial(digest) {
-		return false
+// begin returns a trial if a quarantined request may run now, and nil otherwise. If it returns one,
+// the caller must call end. While the early trial of the same content runs elsewhere, begin waits
+// for its result.
+func (t *trials) begin(ctx context.Context, request quarantine.Request) *quarantine.Trial {
+	for {
+		if trial, ok := t.suspects.BeginTrial(request); ok {
+			if t.claimTrial(ctx, &trial) {
+				return &trial
+			}
+		}
+		if !t.suspects.AwaitsTrial(request) || ctx.Err() != nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(trialPollInterval):
+		}
 	}
-	granted, err := t.claim(ctx, digest)
-	event := t.logger.Info().Str("event", "trial").Str("digest", digest.String()).Bool("granted", granted)
+}
+
+// claimTrial reports whether a trial that has begun is this process's to run.
+func (t *trials) claimTrial(ctx context.Context, trial *quarantine.Trial) bool {
+	granted, err := t.claim(ctx, trial)
+	if err != nil && trial.Early {
+		// What is known speaks against one caller or failure domain only, not against the request.
+		granted = true
+	}
+	event := t.logger.Info().Str("event", "trial").Str("digest", trial.Request.Caller.String()).
+		Str("content", trial.Request.Content.String()).Bool("early", trial.Early).Bool("granted", granted)
 	if err != nil {
 		event = event.Err(err)
 	}
 	event.Msg("")
 	if !granted {
-		t.suspects.EndTrial(digest, err == nil)
+		t.suspects.EndTrial(*trial, err == nil && !t.withdrawing(trial))
 	}
 	return granted
 }
 
+// withdrawing reports whether a claim of a trial waits to be withdrawn.
+func (t *trials) withdrawing(trial *quarantine.Trial) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.ContainsFunc(trial.Claims, func(digest quarantine.Digest) bool {
+		claim := t.claims[digest]
+		return claim != nil && claim.ended
+	})
+}
+
 // end records the end of a trial, with the number of servers that the request was sent to, and
 // whether one of them may have run it.
-func (t *trials) end(digest quarantine.Digest, sends int, mayHaveRun bool) {
+func (t *trials) end(trial *quarantine.Trial, sends int, mayHaveRun bool) {
 	t.mu.Lock()
 	spent := true
-	if claim := t.claims[digest]; claim != nil {
+	for _, digest := range trial.Claims {
+		claim := t.claims[digest]
+		if claim == nil {
+			continue
+		}
 		claim.sends += sends
 		claim.mayHaveRun = claim.mayHaveRun || mayHaveRun
-		spent = claim.spent()
+		spent = claim.spent(trial.MaxSends)
 		if claim.sends == 0 {
 			t.endClaim(claim)
 		}
 	}
 	t.mu.Unlock()
-	t.suspects.EndTrial(digest, spent)
+	t.suspects.EndTrial(*trial, spent)
 }
 
-// spent reports whether the request must not run again.
-func (c *trialClaim) spent() bool { return c.mayHaveRun || c.sends >= maxTrialSends }
+// spent reports whether the request must not run again, if it may be sent to maxSends servers.
+func (c *trialClaim) spent(maxSends int) bool { return c.mayHaveRun || c.sends >= maxSends }
 
-// claim reports whether the trial of a request is this process's. After an error, the next call
-// finds out whether the store has the claim.
-func (t *trials) claim(ctx context.Context, digest quarantine.Digest) (granted bool, err error) {
-	t.mu.Lock()
-	claim := t.claims[digest]
-	if claim == nil {
-		t.forgetSpentClaim()
-		claim = &trialClaim{
-			token: strconv.FormatUint(rand.Uint64(), 16),
-		}
-		t.claims[digest] = claim
-	}
-	usable := !claim.ended && !claim.spent()
-	t.mu.Unlock()
+// claim reports whether a trial is this process's. After an error, the next call finds out whether
+// the store has the claim.
+func (t *trials) claim(ctx context.Context, trial *quarantine.Trial) (granted bool, err error) {
+	tokens, usable := t.tokens(trial)
 	if !usable {
 		return false, nil
 	}
+	var held []quarantine.Digest
 	err = t.updateRow(ctx, func(content []byte) []byte {
-		if holder, claimed := findTrialClaim(content, digest); claimed {
-			granted = holder == claim.token
+		held = nil
+		claimed := bytes.Clone(content)
+		for index, digest := range trial.Claims {
+			switch holder, found := findTrialClaim(content, digest); {
+			case !found:
+				claimed = append(claimed, hex.EncodeToString(digest[:])+" "+tokens[index]+"\n"...)
+			case holder != tokens[index]:
+				held = append(held, digest)
+			}
+		}
+		if len(held) > 0 {
 			return content
 		}
-		granted = true
-		lines := bytes.SplitAfter(content, []byte{'\n'})
+		lines := bytes.SplitAfter(claimed, []byte{'\n'})
 		// Behind the last line, there is an empty one.
-		if drop := len(lines) - maxTrialClaims; drop > 0 {
-			content = bytes.Join(lines[drop:], nil)
+		if drop := len(lines) - 1 - maxTrialClaims; drop > 0 {
+			return bytes.Join(lines[drop:], nil)
 		}
-		return append(bytes.Clone(content), hex.EncodeToString(digest[:])+" "+claim.token+"\n"...)
+		return claimed
 	})
-	if err == nil && !granted {
-		t.mu.Lock()
-		delete(t.claims, digest)
-		t.mu.Unlock()
+	if err != nil {
+		return false, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, digest := range trial.Claims {
+		unused := len(held) > 0 && t.claims[digest].sends == 0 && !t.claims[digest].ended
+		if unused || slices.Contains(held, digest) {
+			delete(t.claims, digest)
+		}
+	}
+	return len(held) == 0, nil
+}
+
+// tokens returns the tokens of a trial's claims, of which it makes those that are missing. usable is
+// false if one of the claims has been used.
+func (t *trials) tokens(trial *quarantine.Trial) (tokens []string, usable bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	usable = true
+	for _, digest := range trial.Claims {
+		claim := t.claims[digest]
+		if claim == nil {
+			t.forgetSpentClaim()
+			claim = &trialClaim{
+				token: strconv.FormatUint(rand.Uint64(), 16),
+			}
+			t.claims[digest] = claim
+		}
+		usable = usable && !claim.ended && !claim.spent(trial.MaxSends)
+		tokens = append(tokens, claim.token)
 	}
-	return granted && err == nil, err
+	return tokens, usable
 }
 
 // forgetSpentClaim makes room for another claim. The row still has the one that is forgotten. The
@@ -158,7 +219,7 @@
 		return
 	}
 	for digest, claim := range t.claims {
-		if claim.spent() {
+		if claim.sends > 0 {
 			delete(t.claims, digest)
 			return
 		}
@@ -216,13 +277,15 @@
 	return err
 }
 
-// handleSuccess makes run withdraw this process's claim to the trial of a request that has
-// succeeded, so that there can be another trial if it is quarantined again.
+// handleSuccess makes run withdraw this process's claims to the trials of a request that has
+// succeeded, so that there can be others if it is quarantined again.
 func (t *trials) handleSuccess(digest quarantine.Digest) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if claim := t.claims[digest]; claim != nil {
-		t.endClaim(claim)
+	for _, name := range []quarantine.Digest{digest, quarantine.EarlyClaim(digest)} {
+		if claim := t.claims[name]; claim != nil {
+			t.endClaim(claim)
+		}
 	}
 }
 
--- a/entry/quarantine/heartbeat.go
+++ b/entry/quarantine/heartbeat.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -9,11 +10,20 @@
 	"github.com/teaselstack/teaselstack/entry/membership"
 )
 
-// maxSuspectsPerMessage is the maximum number of suspects in one message. Those for which
-// most servers failed come first, and those with as many failures in a random order, so
-// that each is likely to be in one of several messages.
+// maxSuspectsPerMessage is the maximum number of suspects in one message. Those sent least often
+// come first, then those for which most servers failed, and those with as many failures in a
+// random order, so that each is likely to be in one of several messages.
 const maxSuspectsPerMessage = 32
 
+const (
+	// sentPerMessage is how many of these suspects are certain to fit into a datagram.
+	sentPerMessage = 8
+	// minSends is the number of messages in which a suspect is sent, after it has changed, before
+	// those that have been sent as often. Otherwise, a few with most failures would take all the
+	// room.
+	minSends = 3
+)
+
 // HeartbeatExtension returns the functions that add suspects to heartbeats and merge
 // those received.
 func (l *List) HeartbeatExtension() membership.Extension {
@@ -33,12 +43,19 @@
 
 // Suspects returns up to maxSuspectsPerMessage suspects to send to a peer, without
 // expired ones. Times are sent as ages, because the clocks of the entries may differ.
-func (l *List) Suspects() []*teaselv1.Suspect { return l.RecentSuspects(FailureLifetime) }
+func (l *List) Suspects() []*teaselv1.Suspect {
+	return l.selectSuspects(FailureLifetime, func(*suspect) bool { return true })
+}
 
 // RecentSuspects is like Suspects, but returns only suspects whose last failure, or the success
-// that cleared them, was at most maxAge ago. Both return first those for which most servers
-// failed, and remove the expired suspects that they come across.
+// that cleared them, was at most maxAge ago, and none that Quarantines returns. Both remove the
+// expired suspects that they come across.
 func (l *List) RecentSuspects(maxAge time.Duration) []*teaselv1.Suspect {
+	return l.selectSuspects(maxAge, func(s *suspect) bool { return !l.toldAsQuarantine(s) })
+}
+
+// selectSuspects returns suspects to send to a peer, of those for which include returns true.
+func (l *List) selectSuspects(maxAge time.Duration, include func(*suspect) bool) []*teaselv1.Suspect {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
@@ -47,15 +64,19 @@
 		switch {
 		case now.Sub(s.lastFailure()) > FailureLifetime:
 			delete(l.suspects, digest)
-		case now.Sub(s.lastChange()) <= maxAge:
+		case l.coveredByContent(s), !include(s):
+		case now.Sub(l.lastNews(s)) <= maxAge:
 			selected = append(selected, digest)
 		}
 	}
-	// The order of the iteration, which is random, stays between equal counts. That a suspect
-	// is cleared is as urgent as a first failure.
+	// The order of the iteration, which is random, stays between equal ones.
 	slices.SortStableFunc(selected, func(a, b Digest) int {
-		return max(1, l.weight(l.suspects[b])) - max(1, l.weight(l.suspects[a]))
+		first, second := l.suspects[a], l.suspects[b]
+		return cmp.Or(first.sends/minSends-second.sends/minSends, l.urgency(second)-l.urgency(first))
 	})
+	for _, digest := range selected[:min(len(selected), sentPerMessage)] {
+		l.suspects[digest].sends++
+	}
 	var messages []*teaselv1.Suspect
 	for _, digest := range selected[:min(len(selected), maxSuspectsPerMessage)] {
 		messages = append(messages, l.suspects[digest].encode(digest, now, l.failureLimit()))
@@ -63,23 +84,72 @@
 	return messages
 }
 
+// coveredByContent reports whether peers need not know of a suspect, a request as one caller sends
+// it, because the same failures are known of its content whoever sends it. The caller must hold the
+// lock.
+func (l *List) coveredByContent(s *suspect) bool {
+	failures := s.recentFailures(time.Now())
+	return s.oneCaller && failures > 0 && l.failureCount(s.content) >= failures
+}
+
+// toldAsQuarantine reports whether Quarantines returns a suspect, so that peers need no more: it is
+// quarantined, and what is known of its failures here does not put that in doubt. The caller must
+// hold the lock.
+func (l *List) toldAsQuarantine(s *suspect) bool {
+	now := time.Now()
+	return l.quarantined(s) && (s.recentFailures(now) < l.failureLimit() || s.commonCause(now).isZero())
+}
+
+// lastNews is like suspect.lastChange, but for a request as one caller sends it, it may also return
+// when its content was cleared: from then on, the peers must know of it. The caller must hold the
+// lock.
+func (l *List) lastNews(s *suspect) time.Time {
+	last := s.lastChange()
+	if content := l.suspects[s.content]; s.oneCaller && content != nil && content.clearedAt.After(last) {
+		return content.clearedAt
+	}
+	return last
+}
+
+// urgency returns how much earlier than others a suspect is sent to peers. That a suspect is
+// cleared is as urgent as a first failure. Among those with as many failures, the peers need most
+// what they can learn from this entry only, and what holds for all callers. The caller must hold
+// the lock.
+func (l *List) urgency(s *suspect) int {
+	urgency := 4 * max(1, l.weight(s))
+	if s.seenHere {
+		urgency += 2
+	}
+	if !s.oneCaller {
+		urgency++
+	}
+	return urgency
+}
+
 // encode returns the message that describes a suspect to a peer, with its latest failures
-// up to a limit, of those that still count. More are not needed to quarantine it.
+// up to a limit. More are not needed to quarantine it. Those that do not count are left out,
+// unless that has changed lately: the ages in several messages can't tell whether a success was
+// later than a failure.
 func (s *suspect) encode(digest Digest, now time.Time, limit int) *teaselv1.Suspect {
 	message := &teaselv1.Suspect{
-		Digest:  digest[:],
-		Service: s.service,
+		Digest:    digest[:],
+		Service:   s.service,
+		OneCaller: s.oneCaller,
 	}
 	latest := slices.SortedFunc(maps.Keys(s.failures), func(a, b string) int {
-		return s.failures[b].Compare(s.failures[a])
+		return s.failures[b].at.Compare(s.failures[a].at)
 	})
 	for _, server := range latest[:min(len(latest), limit)] {
-		if !s.counts(server) {
+		f, cleared := s.failures[server], !s.counts(server)
+		if cleared && now.Sub(s.clearedAt) > maxMessageDelay {
 			continue
 		}
 		message.Breaks = append(message.Breaks, &teaselv1.SuspectBreak{
-			Server: server,
-			AgeMs:  ageMilliseconds(now.Sub(s.failures[server])),
+			Server:        server,
+			AgeMs:         ageMilliseconds(now.Sub(f.at)),
+			Senders:       f.senders,
+			FailureDomain: f.failureDomain,
+			Cleared:       cleared,
 		})
 	}
 	if !s.lastSuccess.IsZero() {
@@ -93,15 +163,17 @@
 	// maxQuarantinesPerMessage is the maximum number of quarantined requests in a message.
 	maxQuarantinesPerMessage = 8
 	// maxStoredQuarantines and maxStoredSuspects are the maximum numbers of quarantined
-	// requests and of suspects that an entry stores.
-	maxStoredQuarantines = 256
+	// requests and of suspects that an entry stores. A row of the store holds 64 KiB.
+	maxStoredQuarantines = 1024
 	maxStoredSuspects    = 64
 )
 
 // Quarantines returns up to maxQuarantinesPerMessage quarantined requests to send to a
-// peer, in a random order. Unlike suspects, they are sent however long ago the last
-// failure was, so that an entry that starts learns them. They are no longer sent shortly
-// before they expire, because a message that arrives later would renew them.
+// peer, those first that were sent least often, and in a random order. Unlike suspects, they
+// are sent however long ago the last failure was, so that an entry that starts learns them. They
+// are no longer sent shortly before they expire, because a message that arrives later would renew
+// them. Those whose failures have a cause in common are sent as suspects only, since a Quarantine
+// names no cause.
 func (l *List) Quarantines() []*teaselv1.Quarantine {
 	return l.encodeQuarantines(maxQuarantinesPerMessage, func(*suspect) bool { return true })
 }
@@ -138,19 +210,24 @@
 func (l *List) encodeQuarantines(limit int, include func(*suspect) bool) []*teaselv1.Quarantine {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var messages []*teaselv1.Quarantine
+	var selected []Digest
 	for digest, s := range l.suspects {
 		age := time.Since(s.quarantinedAt)
-		if !l.quarantined(s) || age > FailureLifetime-maxMessageDelay || !include(s) {
-			continue
+		if l.toldAsQuarantine(s) && age <= FailureLifetime-maxMessageDelay && include(s) {
+			selected = append(selected, digest)
 		}
+	}
+	slices.SortStableFunc(selected, func(a, b Digest) int {
+		return l.suspects[a].quarantineSends - l.suspects[b].quarantineSends
+	})
+	var messages []*teaselv1.Quarantine
+	for _, digest := range selected[:min(len(selected), limit)] {
+		s := l.suspects[digest]
+		s.quarantineSends++
 		messages = append(messages, &teaselv1.Quarantine{
 			Digest: digest[:],
-			AgeMs:  ageMilliseconds(age),
+			AgeMs:  ageMilliseconds(time.Since(s.quarantinedAt)),
 		})
-		if len(messages) == limit {
-			break
-		}
 	}
 	return messages
 }
@@ -216,6 +293,7 @@
 				FromPeer:    true,
 				Count:       s.recentFailures(time.Now()),
 				Quarantined: true,
+				OneCaller:   s.oneCaller,
 				SeenHere:    s.seenHere,
 			})
 		}
@@ -241,8 +319,12 @@
 		digest := Digest(message.GetDigest())
 		for _, failure := range message.GetBreaks() {
 			at := now.Add(-time.Duration(failure.GetAgeMs()) * time.Millisecond)
-			if now.Sub(at) < FailureLifetime {
-				l.addFailure(digest, message.GetService(), failure.GetServer(), at, true)
+			switch {
+			case now.Sub(at) >= FailureLifetime:
+			case failure.GetCleared():
+				l.mergeCleared(digest, failure.GetServer(), at)
+			default:
+				l.addFailure(digest, message.GetService(), failure.GetServer(), newPeerFailure(at, failure), true).oneCaller = message.GetOneCaller()
 			}
 		}
 		s := l.suspects[digest]
@@ -252,3 +334,25 @@
 		}
 	}
 }
+
+// newPeerFailure returns the failure at a time that a peer sent.
+func newPeerFailure(at time.Time, message *teaselv1.SuspectBreak) *failure {
+	f := &failure{
+		at:            at,
+		failureDomain: message.GetFailureDomain(),
+	}
+	f.addSenders(message.GetSenders())
+	return f
+}
+
+// mergeCleared records that the failure of a server at a time does not count any more, as a peer
+// knows. The caller must hold the lock.
+func (l *List) mergeCleared(digest Digest, server string, at time.Time) {
+	s := l.suspects[digest]
+	if s == nil || s.failures[server] == nil || !s.counts(server) || isNewEvent(s.failures[server].at, at) {
+		return
+	}
+	s.survived[server] = s.failures[server].at
+	s.clearedAt, s.sends = time.Now(), 0
+	l.settle(digest, s)
+}
--- a/entry/quarantine/quarantine.go
+++ b/entry/quarantine/quarantine.go
@@ -12,11 +12,15 @@
 // that it was not run, for FailureLifetime from then on, apart from a trial, see
 // BeginTrial. Entries exchange their suspects in the messages by which they detect each
 // other's failures, heartbeats or datagrams.
+//
+// Where callers are known, a request is up to three suspects, see Request: what only one
+// caller's requests do is held against that caller alone.
 package quarantine
 
 import (
 	"encoding/hex"
 	"math"
+	"slices"
 	"sync"
 	"time"
 )
@@ -41,6 +45,8 @@
 	Count int
 	// Quarantined reports whether the request is refused from now on.
 	Quarantined bool
+	// OneCaller reports whether the suspect is a request as one caller sends it.
+	OneCaller bool
 	// SeenHere reports whether this entry recorded any failure for the request.
 	SeenHere bool
 }
@@ -64,27 +70,34 @@
 
 	mu       sync.Mutex
 	suspects map[Digest]*suspect
-	// unanswered holds the requests passed to RecordUnanswered, oldest first.
+	// unanswered holds the runs passed to RecordUnanswered, oldest first.
 	unanswered []unansweredRun
 	// active holds the suspect that this entry currently runs on each backend server,
-	// by the server passed to Admit.
+	// by the server passed to Admit, with the digest of its content.
 	active map[string]activeSuspect
 }
 
 // suspect is a request that was in flight when a backend server failed.
 type suspect struct {
 	service string
-	// failures holds the time of the last failure of each backend server, by the server
-	// passed to RecordFailure.
-	failures map[string]time.Time
+	// oneCaller reports whether the suspect is a request as one caller sends it, if this entry
+	// recorded any of the failures itself.
+	oneCaller bool
+	// content is the digest of the request's content if oneCaller is set.
+	content Digest
+	// failures holds the last failure of each backend server, by the server passed to
+	// RecordFailure.
+	failures map[string]*failure
 	// survived holds the times of those failures that were none, since the server went on
-	// running, by the server.
+	// running, or that a peer's success cleared, by the server.
 	survived map[string]time.Time
 	// seenHere reports whether this entry recorded any of the failures itself.
 	seenHere bool
 	// quarantinedAt is the time of the failure by which the request was last quarantined,
-	// zero if it never was.
-	quarantinedAt time.Time
+	// zero if it never was. quarantinedSince is when that was recorded here first since the
+	// request was last cleared.
+	quarantinedAt    time.Time
+	quarantinedSince time.Time
 	// lastSuccess is when a run of the request last succeeded. clearedAt is when a success was
 	// last recorded here behind failures, which then no longer counted.
 	lastSuccess time.Time
@@ -93,6 +106,22 @@
 	// trialAt is the earliest time of the next one.
 	inTrial bool
 	trialAt time.Time
+	// sends is the number of messages in which the suspect was sent since it last changed, and
+	// quarantineSends that of those in which it was sent as quarantined.
+	sends           int
+	quarantineSends int
+	// early is the same for an early trial, see earlyTrial.
+	early earlyTrial
+}
+
+// failure is the failure of a backend server.
+type failure struct {
+	at time.Time
+	// senders holds hashes of those whose requests the server ran, at most maxFailureSenders,
+	// and nothing if they are not known, see Request.sender.
+	senders []uint32
+	// failureDomain is a hash of the server's failure domain, 0 if it is not known.
+	failureDomain uint32
 }
 
 // activeSuspect is the suspect that this entry currently runs on a backend server.
@@ -103,11 +132,9 @@
 	requests int
 }
 
-// unansweredRun is a request that got no answer from a backend server.
+// unansweredRun is a run of a request that got no answer from a backend server.
 type unansweredRun struct {
-	digest  Digest
-	service string
-	server  string
+	run     Run
 	endedAt time.Time
 	// running reports whether the server still runs.
 	running func() bool
@@ -121,8 +148,12 @@
 	// maxMessageDelay is an upper bound of the delay of a message between two
 	// entries.
 	maxMessageDelay = 5 * time.Second
-	// maxSuspects is the maximum number of suspects in a list, see evict.
-	maxSuspects = 512
+	// maxSuspects is the maximum number of suspects in a list that are not quarantined, and
+	// maxQuarantined that of those that are, see evict.
+	maxSuspects    = 1024
+	maxQuarantined = 4096
+	// maxFailureSenders is the maximum number of senders that are known of a failure.
+	maxFailureSenders = 4
 	// unansweredLifetime is how long after a request ended without an answer the end of its
 	// backend server counts as a failure. A server that ends in silence is missed after
 	// three of its heartbeats, or later while the store is away.
@@ -145,22 +176,22 @@
 func (l *List) RecordFailure(digest Digest, service, server string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.addFailure(digest, service, server, time.Now(), false)
+	l.addFailure(digest, service, server, &failure{
+		at: time.Now(),
+	}, false)
 }
 
-// RecordUnanswered records that a request of a service got no answer from a backend server
-// before its deadline, or before its caller left. If the server ends soon, as
+// RecordUnanswered records that a run got no answer from its backend server before the
+// request's deadline, or before its caller left. If the server ends soon, as
 // CheckUnanswered finds out from running, that counts as a failure at that time.
-func (l *List) RecordUnanswered(digest Digest, service, server string, running func() bool) {
+func (l *List) RecordUnanswered(run Run, running func() bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.unanswered) >= maxUnanswered {
 		l.unanswered = l.unanswered[len(l.unanswered)-maxUnanswered+1:]
 	}
 	l.unanswered = append(l.unanswered, unansweredRun{
-		digest:  digest,
-		service: service,
-		server:  server,
+		run:     run,
 		endedAt: time.Now(),
 		running: running,
 	})
@@ -187,27 +218,32 @@
 	defer l.mu.Unlock()
 	l.unanswered = append(undecided, l.unanswered...)
 	for _, run := range ended {
-		l.addFailure(run.digest, run.service, run.server, time.Now(), false)
+		l.addRun(run.run)
 	}
 }
 
-// addFailure records the failure of a backend server at a time. The caller must
-// hold the lock.
-func (l *List) addFailure(digest Digest, service, server string, at time.Time, fromPeer bool) {
+// addFailure records the failure of a backend server. The caller must hold the lock.
+func (l *List) addFailure(digest Digest, service, server string, f *failure, fromPeer bool) *suspect {
 	s := l.addSuspect(digest)
 	s.service = service
 	s.seenHere = s.seenHere || !fromPeer
 	wasQuarantined := l.quarantined(s)
 	survived := s.survived[server]
-	isNew := isNewEvent(at, s.failures[server]) || !fromPeer && !survived.IsZero() && at.After(survived)
+	recorded := s.failures[server]
+	isNew := recorded == nil || isNewEvent(f.at, recorded.at) || !fromPeer && !survived.IsZero() && f.at.After(survived)
 	if isNew {
-		s.failures[server] = at
+		s.failures[server], s.sends = f, 0
+	} else {
+		recorded.addSenders(f.senders)
 	}
 	count := s.recentFailures(time.Now())
-	if count >= l.failureLimit() && isNewEvent(at, s.quarantinedAt) {
-		s.quarantinedAt = at
+	if count >= l.failureLimit() && isNewEvent(f.at, s.quarantinedAt) {
+		s.quarantinedAt = f.at
 	}
 	quarantined := !wasQuarantined && l.quarantined(s)
+	if quarantined {
+		s.quarantinedSince = time.Now()
+	}
 	if l.OnFailure != nil && (!fromPeer || quarantined || isNew && s.seenHere) {
 		l.OnFailure(Failure{
 			Digest:      digest,
@@ -216,9 +252,11 @@
 			FromPeer:    fromPeer,
 			Count:       count,
 			Quarantined: quarantined,
+			OneCaller:   s.oneCaller,
 			SeenHere:    s.seenHere,
 		})
 	}
+	return s
 }
 
 // addSuspect returns the suspect with a digest, a new one if there is none. The caller
@@ -231,7 +269,7 @@
 	if s == nil {
 		l.evict()
 		s = &suspect{
-			failures: make(map[string]time.Time),
+			failures: make(map[string]*failure),
 			survived: make(map[string]time.Time),
 		}
 		l.suspects[digest] = s
@@ -247,23 +285,32 @@
 	return at.Sub(recorded) > maxMessageDelay
 }
 
-// evict removes expired suspects and, if the list is still full, one of those with the
-// lowest weight, the one whose last failure is oldest. The caller must hold the lock.
+// evict makes room for another suspect in a full list. It removes the expired ones and, if the
+// list is still full, one of those with the lowest weight, the one whose last failure is oldest.
+// A quarantined one goes only if there are maxQuarantined. The caller must hold the lock.
 func (l *List) evict() {
+	if len(l.suspects) < maxSuspects {
+		return
+	}
 	now := time.Now()
 	var candidate Digest
 	lowest, oldestAge := math.MaxInt, time.Duration(0)
+	quarantined := 0
 	for digest, s := range l.suspects {
 		age := now.Sub(s.lastFailure())
 		if age > FailureLifetime {
 			delete(l.suspects, digest)
 			continue
 		}
-		if weight := l.weight(s); weight < lowest || weight == lowest && age >= oldestAge {
+		weight := l.weight(s)
+		if weight >= l.failureLimit() {
+			quarantined++
+		}
+		if weight < lowest || weight == lowest && age >= oldestAge {
 			candidate, lowest, oldestAge = digest, weight, age
 		}
 	}
-	if len(l.suspects) >= maxSuspects {
+	if len(l.suspects)-quarantined >= maxSuspects || quarantined >= maxQuarantined {
 		delete(l.suspects, candidate)
 	}
 }
@@ -298,10 +345,11 @@
 	weight, wasQuarantined := l.weight(s), l.quarantined(s)
 	s.lastSuccess = at
 	s.trialAt = time.Time{}
+	s.early = earlyTrial{}
 	if weight == 0 || l.weight(s) > 0 {
 		return
 	}
-	s.clearedAt = time.Now()
+	s.clearedAt, s.sends = time.Now(), 0
 	if (s.seenHere || wasQuarantined) && l.OnCleared != nil {
 		l.OnCleared(digest)
 	}
@@ -310,9 +358,9 @@
 // lastFailure returns the time of the last failure of any backend server.
 func (s *suspect) lastFailure() time.Time {
 	last := s.quarantinedAt
-	for _, at := range s.failures {
-		if at.After(last) {
-			last = at
+	for _, f := range s.failures {
+		if f.at.After(last) {
+			last = f.at
 		}
 	}
 	return last
@@ -322,8 +370,8 @@
 // and after the last success of the suspect.
 func (s *suspect) recentFailures(now time.Time) int {
 	count := 0
-	for server, at := range s.failures {
-		if s.counts(server) && now.Sub(at) < FailureLifetime {
+	for server, f := range s.failures {
+		if s.counts(server) && now.Sub(f.at) < FailureLifetime {
 			count++
 		}
 	}
@@ -333,7 +381,7 @@
 // counts reports whether the failure of a server is later than the last success, and the server
 // has not survived it.
 func (s *suspect) counts(server string) bool {
-	at := s.failures[server]
+	at := s.failures[server].at
 	return at.After(s.lastSuccess) && at.After(s.survived[server])
 }
 
@@ -346,8 +394,8 @@
 	l.mu.Lock()
 	candidates := make(map[string]bool)
 	for _, s := range l.suspects {
-		for server, at := range s.failures {
-			if s.counts(server) && asOf.Sub(at) >= survivalTime {
+		for server, f := range s.failures {
+			if s.counts(server) && asOf.Sub(f.at) >= survivalTime {
 				candidates[server] = false
 			}
 		}
@@ -367,18 +415,24 @@
 // hold the lock.
 func (l *List) applySurvivors(digest Digest, s *suspect, asOf time.Time, alive map[string]bool) {
 	changed := false
-	for server, at := range s.failures {
-		if alive[server] && s.counts(server) && asOf.Sub(at) >= survivalTime {
-			s.survived[server] = at
+	for server, f := range s.failures {
+		if alive[server] && s.counts(server) && asOf.Sub(f.at) >= survivalTime {
+			s.survived[server] = f.at
 			changed = true
 		}
 	}
-	if !changed {
-		return
+	if changed {
+		l.settle(digest, s)
 	}
+}
+
+// settle clears a suspect of whose failures some count no longer if too few are left, unless it is
+// quarantined for failures that only peers know. The caller must hold the lock.
+func (l *List) settle(digest Digest, s *suspect) {
 	left := s.recentFailures(time.Now())
 	switch limit := l.failureLimit(); {
 	case left >= limit:
+	case l.quarantined(s) && len(s.failures) < limit:
 	case l.quarantined(s):
 		l.setSuccess(digest, s, time.Now())
 	case left == 0 && s.seenHere && l.OnCleared != nil:
@@ -404,38 +458,6 @@
 	return s != nil && l.quarantined(s)
 }
 
-// BeginTrial reports whether a quarantined request may be tried again now, because servers that
-// are lost together seem to have failed with it. It waits until survivalTime after the last failure,
-// since the failures that servers survived no longer count then. If it returns true, the caller must
-// call EndTrial.
-func (l *List) BeginTrial(digest Digest) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s := l.suspects[digest]
-	now := time.Now()
-	if s == nil || !l.quarantined(s) || s.inTrial || now.Before(s.trialAt) || now.Sub(s.lastFailure()) < survivalTime {
-		return false
-	}
-	s.inTrial = true
-	return true
-}
-
-// EndTrial ends what BeginTrial began. If spent is set, the request has had its trial.
-func (l *List) EndTrial(digest Digest, spent bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s := l.suspects[digest]
-	if s == nil {
-		return
-	}
-	s.inTrial = false
-	delay := trialRetryDelay
-	if spent && l.quarantined(s) {
-		delay = spentTrialDelay
-	}
-	s.trialAt = time.Now().Add(delay)
-}
-
 // failureLimit returns FailureLimit or its default.
 func (l *List) failureLimit() int {
 	if l.FailureLimit == 0 {
@@ -457,21 +479,21 @@
 // Admit reports whether a request may run on a backend server now: this entry must
 // not run a suspect there while it runs another one there. If the request may run, the
 // caller must call release when the run ends.
-func (l *List) Admit(digest Digest, server string) (release func(), allowed bool) {
+func (l *List) Admit(request Request, server string) (release func(), allowed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.failureCount(digest) == 0 {
+	if !slices.ContainsFunc(request.levels(), func(digest Digest) bool { return l.failureCount(digest) > 0 }) {
 		return func() {}, true
 	}
 	current := l.active[server]
-	if current.requests > 0 && current.digest != digest {
+	if current.requests > 0 && current.digest != request.Content {
 		return nil, false
 	}
 	if l.active == nil {
 		l.active = make(map[string]activeSuspect)
 	}
 	l.active[server] = activeSuspect{
-		digest:   digest,
+		digest:   request.Content,
 		requests: current.requests + 1,
 	}
 	return func() { l.endRun(server) }, true
--- a/entry/quarantine/quarantine_test.go
+++ b/entry/quarantine/quarantine_test.go
@@ -113,17 +113,28 @@
 	})
 }
 
+// unansweredRun is a run of the request with a digest.
+func unansweredRun(digest quarantine.Digest) quarantine.Run {
+	return quarantine.Run{
+		Request: quarantine.Request{
+			Content: digest,
+		},
+		Service: "offers",
+		Server:  "server-1",
+	}
+}
+
 // TestUnansweredRequestsAreBounded guards against a list that grows while requests get no answer
 // and servers come and go.
 func TestUnansweredRequestsAreBounded(t *testing.T) {
 	var list quarantine.List
 	asked := 0
 	for i := range 4000 {
-		list.RecordUnanswered(quarantine.Digest([]byte(fmt.Sprintf("request %08d", i))), "offers", "server-1", func() bool {
+		list.RecordUnanswered(unansweredRun(quarantine.Digest([]byte(fmt.Sprintf("request %08d", i)))), func() bool {
 			asked++
 			if asked%7 == 0 {
 				// The list may be changed while servers are asked about.
-				list.RecordUnanswered(requestDigest, "offers", "server-2", func() bool { return true })
+				list.RecordUnanswered(unansweredRun(requestDigest), func() bool { return true })
 			}
 			return true
 		})
@@ -136,3 +147,32 @@
 	// 512 is maxUnanswered.
 	assert.Assert(t, asked <= 512, "%d requests", asked)
 }
+
+// TestQuarantinesOutnumberBounds guards against requests that are sent on because more are
+// quarantined than a list of suspects, a message or a stored row used to hold.
+func TestQuarantinesOutnumberBounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const quarantined = 600
+		// The text has 16 bytes, the length of a Digest.
+		digest := func(number int) quarantine.Digest {
+			return quarantine.Digest([]byte(fmt.Sprintf("request %08d", number)))
+		}
+		var list, peer, successor quarantine.List
+		for number := range quarantined {
+			list.RecordFailure(digest(number), "offers", "server-1")
+			list.RecordFailure(digest(number), "offers", "server-2")
+		}
+		for number := range 5000 {
+			list.RecordFailure(digest(quarantined+number), "offers", "server-1")
+		}
+		for range 100 {
+			exchange(200*time.Millisecond, &list, &peer)
+		}
+		successor.MergeStored(list.StoredSuspects(), list.StoredQuarantines(), time.Second, true)
+		for number := range quarantined {
+			assert.Assert(t, list.Quarantined(digest(number)), "request %d", number)
+			assert.Assert(t, peer.Quarantined(digest(number)), "request %d at a peer", number)
+			assert.Assert(t, successor.Quarantined(digest(number)), "request %d after a restart", number)
+		}
+	})
+}
--- a/entry/suspects_test.go
+++ b/entry/suspects_test.go
@@ -100,7 +100,12 @@
 		s := newSuspectSite(t, 7, 0)
 		lost := false
 		for index := range 3 {
-			s.nodes[index].suspects.RecordUnanswered(crashingDigest, "desk", fmt.Sprintf("i-%d@1", index), func() bool { return !lost })
+			s.nodes[index].suspects.RecordUnanswered(quarantine.Run{
+				Request: quarantine.Request{
+					Content: crashingDigest,
+				},
+				Server: fmt.Sprintf("i-%d@1", index),
+			}, func() bool { return !lost })
 		}
 		time.Sleep(8 * time.Second)
 		lost = true
@@ -330,8 +335,8 @@
 	}
 	for index := range 9 {
 		startUnixMS := int64(1)
-		s.servers[fmt.Sprintf("10.9.0.%d:8080", index+1)].crash = func(path string) bool {
-			if path != "/browse/crash" {
+		s.servers[fmt.Sprintf("10.9.0.%d:8080", index+1)].crash = func(request *http.Request) bool {
+			if request.URL.Path != "/browse/crash" {
 				return false
 			}
 			s.reached = append(s.reached, time.Now())
