entry: registrations kept through an outage of the store show no survivors

What callers saw: a request that crashes servers was sent on again some seconds after an outage of the store.

Cause: a server whose registration is there ten seconds after a failure counts as a survivor, so that the failure does not count. The registrations now count from ten seconds after the end of a gap in their confirmations.

--- a/entry/platform_node.go
+++ b/entry/platform_node.go
@@ -60,6 +60,10 @@
 	// startingPeerHeard is when a message of an entry that had just started last arrived, nil if
 	// none did.
 	startingPeerHeard atomic.Pointer[time.Time]
+	// confirmedAt is the time as of which the servers' registrations are known, and confirmedSince
+	// that from which on they were without a gap. Only confirmServers uses them.
+	confirmedAt    time.Time
+	confirmedSince time.Time
 	// shuttingDown is set when a graceful shutdown begins: look-ups then no longer name
 	// the entry, and each connection is closed after its answer.
 	shuttingDown atomic.Bool
@@ -98,6 +102,10 @@
 	// until the request is quarantined. The platform limits the retries of a
 	// request after the request has made three servers fail.
 	quarantineFailureLimit = 3
+	// confirmationSlack is how much longer than the undisturbed window the registrations may stay
+	// unconfirmed before the store counts as away. While it is, it may keep those of servers that have
+	// ended.
+	confirmationSlack = 500 * time.Millisecond
 	// suspectGossipTime is how long after its last failure a suspect is sent to peers, how long
 	// an entry says that it has just started, and how long the others then send it all suspects.
 	// It spans several datagrams, as more than half of them may be lost.
@@ -228,7 +236,11 @@
 // confirmServers applies that the registrations known are those at a time.
 func (n *platformNode) confirmServers(at time.Time) {
 	n.fleet.ConfirmRegistrations(at)
-	n.suspects.CheckSurvivors(at, func(server string) bool {
+	if at.Sub(n.confirmedAt) > n.settings.Load().Bounds.StableWindow+confirmationSlack {
+		n.confirmedSince = at
+	}
+	n.confirmedAt = at
+	n.suspects.CheckSurvivors(n.confirmedSince, at, func(server string) bool {
 		id, startUnixMS, ok := gateway.ParseIncarnationKey(server)
 		return ok && n.fleet.RunsSince(id, startUnixMS)
 	})
--- a/entry/quarantine/quarantine.go
+++ b/entry/quarantine/quarantine.go
@@ -387,10 +387,13 @@
 
 // CheckSurvivors finds the failures that were none. A connection that breaks while a server runs a
 // request counts as a failure of the server, but a server that has crashed is not registered any
-// more after survivalTime, or as another incarnation. The registrations are those at asOf, and
-// registered reports whether there is one of a server, as passed to RecordFailure. A quarantined
-// request for which too few failures are left is cleared.
-func (l *List) CheckSurvivors(asOf time.Time, registered func(server string) bool) {
+// more after survivalTime, or as another incarnation. The registrations are those at asOf, known
+// without a gap from since on, and registered reports whether there is one of a server, as passed to
+// RecordFailure. A quarantined request for which too few failures are left is cleared.
+func (l *List) CheckSurvivors(since, asOf time.Time, registered func(server string) bool) {
+	if asOf.Sub(since) < survivalTime {
+		return
+	}
 	l.mu.Lock()
 	candidates := make(map[string]bool)
 	for _, s := range l.suspects {
--- a/entry/suspects_test.go
+++ b/entry/suspects_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/teaselstack/teaselstack/entry/quarantine"
 	"github.com/teaselstack/teaselstack/platform"
+	"github.com/teaselstack/teaselstack/standin/store"
 )
 
 // newSuspectSite starts entries in three regions, without servers.
@@ -450,3 +451,30 @@
 		})
 	}
 }
+
+// TestCrashesBeforeOutageOfStoreCount guards against the end of a quarantine because the
+// registrations of the servers that crashed were still there: the store had been away, and removed
+// them some seconds after its return.
+func TestCrashesBeforeOutageOfStoreCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newPlatformSite(t, &platformSite{
+			regions: 3,
+			slots:   3,
+		}, 7, 6)
+		for index := range 3 {
+			s.nodes[index].suspects.RecordFailure(crashingDigest, "desk", fmt.Sprintf("i-%d@1", index))
+		}
+		s.store.SetFault(store.Fault{
+			Outage: store.OutageRefuse,
+		})
+		time.Sleep(9 * time.Second)
+		s.store.SetFault(store.Fault{})
+		// The rows lapse after three heartbeats.
+		time.Sleep(5 * time.Second)
+		for index := range 3 {
+			s.store.RemoveRow(platform.ServerTable, fmt.Sprintf("i-%d", index))
+		}
+		time.Sleep(20 * time.Second)
+		s.assertQuarantined(t, crashingDigest)
+	})
+}
