--- a/entry/platform_node.go
+++ b/entry/platform_node.go
@@ -233,19 +233,6 @@
 	n.suspects.CheckUnanswered()
 }
 
-// confirmServers applies that the registrations known are those at a time.
-func (n *platformNode) confirmServers(at time.Time) {
-	n.fleet.ConfirmRegistrations(at)
-	if at.Sub(n.confirmedAt) > n.settings.Load().Bounds.StableWindow+confirmationSlack {
-		n.confirmedSince = at
-	}
-	n.confirmedAt = at
-	n.suspects.CheckSurvivors(n.confirmedSince, at, func(server string) bool {
-		id, startUnixMS, ok := gateway.ParseIncarnationKey(server)
-		return ok && n.fleet.RunsSince(id, startUnixMS)
-	})
-}
-
 // logServerState logs that the state of a backend server changed.
 func (n *platformNode) logServerState(server *routing.Server, state placement.ServerState, cause string) {
 	n.logger.Info().Str("event", "server").Str("server", server.ID).Str("belief", string(state)).Str("cause", cause).
@@ -272,29 +259,6 @@
 	return entries
 }
 
-// handleFailure logs that a backend server failed while it ran a request, and whether the
-// request is quarantined from now on. An entry that saw a failure stores the request.
-func (n *platformNode) handleFailure(failure quarantine.Failure) {
-	if failure.SeenHere {
-		n.tracker.UpdateRow()
-	}
-	if failure.OneCaller && !failure.Quarantined {
-		// The line on the content says the same.
-		return
-	}
-	n.logger.Warn().Str("event", "suspect").Str("digest", failure.Digest.String()).Str("service", failure.Service).
-		Str("server", failure.Server).Bool("from-peer", failure.FromPeer).Int("failures", failure.Count).
-		Bool("quarantined", failure.Quarantined).Msg("")
-}
-
-// handleCleared logs that a request is no longer suspected of crashing servers, and takes it out
-// of this entry's row.
-func (n *platformNode) handleCleared(digest quarantine.Digest) {
-	n.tracker.UpdateRow()
-	n.trials.handleSuccess(digest)
-	n.logger.Info().Str("event", "suspect-cleared").Str("digest", digest.String()).Msg("")
-}
-
 // fillPresence adds to a message to the other entries this entry's requests in flight at
 // each backend server, the servers that fail its requests, the recent suspects and the
 // quarantined requests. While another entry has just started, it adds all suspects.
@@ -322,20 +286,6 @@
 	n.suspects.MergeQuarantines(message.GetQuarantines())
 }
 
-// fillRow adds to this entry's row the requests for which it saw a failure.
-func (n *platformNode) fillRow(row *teaselv1.Presence) {
-	row.Suspects = n.suspects.StoredSuspects()
-	row.Quarantines = n.suspects.StoredQuarantines()
-	row.WrittenUnixMs = time.Now().UnixMilli()
-}
-
-// applyRow merges the suspects and quarantined requests in an entry's row into this entry's
-// list.
-func (n *platformNode) applyRow(row *teaselv1.Presence) {
-	own := row.GetName() == n.settings.Load().Name
-	n.suspects.MergeStored(row.GetSuspects(), row.GetQuarantines(), time.Since(time.UnixMilli(row.GetWrittenUnixMs())), own)
-}
-
 // idempotent reports whether a request's route is one of requests that may run more than
 // once.
 func (n *platformNode) idempotent(request *http.Request) bool {
