entry/quarantine: peers end the doubt in a quarantined content

What callers saw: with the store away, each entry tried a deadly request once more, because the failures that it knew were all one caller's, or in one failure domain.

Cause: an entry whose early trial crashes a server knows that the doubt is gone, and tells the content as quarantined. To the others that said nothing new. It now ends their doubt, too.

--- a/entry/deadly_test.go
+++ b/entry/deadly_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/teaselstack/teaselstack/entry/quarantine"
 	"github.com/teaselstack/teaselstack/platform"
+	"github.com/teaselstack/teaselstack/standin/store"
 )
 
 // deadlySite is a platformSite whose servers crash, and start again, when they run a deadly
@@ -283,6 +284,27 @@
 	})
 }
 
+// TestEarlyTrialsWithoutStoreEnd guards against an early trial at each entry, while the store can't
+// tell them of each other's, of a request whose early trial has crashed a server elsewhere.
+func TestEarlyTrialsWithoutStoreEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newDeadlySite(t, func(*http.Request) bool { return true })
+		for len(s.crashes) < 3 {
+			s.sendPage(0, nil)
+		}
+		time.Sleep(time.Second)
+		s.store.SetFault(store.Fault{
+			Outage: store.OutageRefuse,
+		})
+		before := len(s.crashes)
+		for caller := 1; caller <= 20; caller++ {
+			s.sendPage(caller, nil)
+			time.Sleep(time.Second)
+		}
+		assert.Equal(t, len(s.crashes)-before, 1)
+	})
+}
+
 // TestManyDeadlyRequestsReachAllEntries guards against quarantines that are dropped because there
 // are more than fit into a message or a list: each request has crashed three servers, as other
 // callers sent it, while broken connections make many others suspect.
--- a/entry/quarantine/heartbeat.go
+++ b/entry/quarantine/heartbeat.go
@@ -92,12 +92,10 @@
 	return s.oneCaller && failures > 0 && l.failureCount(s.content) >= failures
 }
 
-// toldAsQuarantine reports whether Quarantines returns a suspect, so that peers need no more: it is
-// quarantined, and what is known of its failures here does not put that in doubt. The caller must
-// hold the lock.
+// toldAsQuarantine reports whether Quarantines returns a suspect, so that peers need no more. The
+// caller must hold the lock.
 func (l *List) toldAsQuarantine(s *suspect) bool {
-	now := time.Now()
-	return l.quarantined(s) && (s.recentFailures(now) < l.failureLimit() || s.commonCause(now).isZero())
+	return l.quarantined(s) && !l.doubtful(s)
 }
 
 // lastNews is like suspect.lastChange, but for a request as one caller sends it, it may also return
@@ -286,6 +284,7 @@
 		if isNewEvent(at, s.quarantinedAt) {
 			s.quarantinedAt = at
 		}
+		s.confirmedAt = time.Now()
 		if l.OnFailure != nil && !wasQuarantined && l.quarantined(s) {
 			l.OnFailure(Failure{
 				Digest:      digest,
--- a/entry/quarantine/quarantine.go
+++ b/entry/quarantine/quarantine.go
@@ -98,6 +98,9 @@
 	// request was last cleared.
 	quarantinedAt    time.Time
 	quarantinedSince time.Time
+	// confirmedAt is when a peer last told that the request is quarantined, and that its failures
+	// have no cause in common.
+	confirmedAt time.Time
 	// lastSuccess is when a run of the request last succeeded. clearedAt is when a success was
 	// last recorded here behind failures, which then no longer counted.
 	lastSuccess time.Time
--- a/entry/quarantine/trial.go
+++ b/entry/quarantine/trial.go
@@ -122,6 +122,13 @@
 	return trial
 }
 
+// doubtful reports whether the failures of a quarantined suspect have a cause in common, as far as
+// this entry and those that told it of the quarantine know. The caller must hold the lock.
+func (l *List) doubtful(s *suspect) bool {
+	now := time.Now()
+	return !s.confirmedAt.After(s.quarantinedAt) && s.recentFailures(now) >= l.failureLimit() && !s.commonCause(now).isZero()
+}
+
 // doubt reports whether at all levels at which a request is quarantined, the failures may be due to
 // something that they have in common. If that is a failure domain, doubt returns it. The caller
 // must hold the lock.
@@ -131,7 +138,7 @@
 	// A level is considered after those that leave out more senders.
 	for _, digest := range slices.Backward(quarantined) {
 		s := l.suspects[digest]
-		if request.sender(digest) == 0 || s.recentFailures(now) < l.failureLimit() {
+		if request.sender(digest) == 0 || !l.doubtful(s) {
 			return 0, false
 		}
 		cause := s.commonCause(now)
