standin/gate: crowds of clients that do not behave

TestCrowds fails in 31 of its 36 cases on this code: 500 connections to one real entry, whose settings allow 96 MB and 1,100 descriptors, make it use 125 to 413 MB. They send heads of very short lines or without end, bodies that stop short, pipelined requests whose responses nobody reads.

--- a/standin/gate/deployment_test.go
+++ b/standin/gate/deployment_test.go
@@ -88,6 +88,8 @@
 	group sync.WaitGroup
 	// gracePeriod is the value of bounds.grace in the settings of every entry.
 	gracePeriod time.Duration
+	// extraSettings holds lines that replace settings of every entry.
+	extraSettings []string
 	// configurationVersion is the version that was published last.
 	configurationVersion int
 	// lastDrain is when the soak test last began the drain of a server.
@@ -254,7 +256,7 @@
 	for _, domain := range failureDomains {
 		lines = append(lines, "zones."+domain.name+"="+domain.region)
 	}
-	return strings.Join(lines, "\n") + "\n"
+	return strings.Join(append(lines, d.extraSettings...), "\n") + "\n"
 }
 
 // signalEntry sends a signal to an entry that this test started.
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -127,6 +128,12 @@
 	Wait string
 }
 
+// LongPath is the end of the paths whose responses have bodies of LongBodyBytes bytes.
+const (
+	LongPath      = "/long"
+	LongBodyBytes = 1 << 20
+)
+
 // maxRepeatDelay is the longest time until a response is sent a second time. It is longer than
 // a connection is mostly idle.
 const maxRepeatDelay = 60 * time.Millisecond
@@ -357,6 +364,10 @@
 		s.sendEndless(w, id)
 	case rand.Float64() < fault.RepeatedResponseShare:
 		s.sendTwice(w, id)
+	case strings.HasSuffix(r.URL.Path, LongPath):
+		w.Header().Set(names.ResponseStamp, s.ID)
+		// The error is ignored: a caller that has disconnected needs no response.
+		_, _ = w.Write(make([]byte, LongBodyBytes))
 	default:
 		w.Header().Set(names.ResponseStamp, s.ID)
 		// The error is ignored: a caller that has disconnected needs no response.
