entry: one budget for what all connections hold

What callers saw: a process ran out of memory because of clients that don't behave.

Cause: each use of memory had a bound of its own or none, taken after the fact, and none looked at all connections. net/http keeps up to 1 MB of a header and parses it as it comes; a body counted once it was buffered; requests read ahead and responses that nobody reads did not count at all.

Change: connections to all listeners, of the platform's path and of the own interface, reserve memory in one budget before they use it. Connections that wait for their clients, for the rest of a request or for room to write, are closed to make room, those first that have waited longest. A header is handed to net/http once it is complete. The number of connections is bounded over all listeners.

Settings that the tests add now replace earlier lines of the same name, since the entry takes the first: without that, the limits had not been lowered.

--- a/entry/gateway/body.go
+++ b/entry/gateway/body.go
@@ -7,6 +7,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"sync/atomic"
@@ -14,19 +15,19 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/teaselstack/teaselstack/entry/budget"
 	"github.com/teaselstack/teaselstack/entry/quarantine"
 	"github.com/teaselstack/teaselstack/outcome"
 )
 
 const (
-	// maxReplayableBytes is how much of a body is buffered before a request is sent,
-	// in bytes. A request with a smaller body occupies no slot while a slow caller sends
+	// maxReplayableBytes is how much of a body is buffered before a request is sent, in bytes,
+	// if the budget has room for it. A request with a smaller body occupies no slot while a slow caller sends
 	// the body, and can be sent again to another server.
 	maxReplayableBytes = 512 << 10
-	// maxTotalBufferedBytes is the total size of the buffered bodies, in bytes, above
-	// which only digestBodyBytes of a further body are buffered. It is an eighth of the
-	// smallest VM's memory.
-	maxTotalBufferedBytes = 32 << 20
+	// minBodyBufferBytes is the size of the first buffer of a body, in bytes. Each further one is
+	// twice as large.
+	minBodyBufferBytes = 4 << 10
 	// digestBodyBytes is how much of a body goes into the request's digest for the
 	// quarantine, in bytes.
 	digestBodyBytes = 4 << 10
@@ -37,6 +38,8 @@
 	// length is the length of the whole body in bytes, -1 if unknown.
 	length int64
 	prefix []byte
+	// reserved is the memory reserved for prefix.
+	reserved int64
 	// remainder is the body after the prefix, nil if the prefix is the whole body.
 	remainder io.ReadCloser
 	// streamed reports whether remainder was handed to an attempt, so that it can't be
@@ -97,22 +100,12 @@
 	if req.maxBodyBytes > 0 {
 		incoming.Body = http.MaxBytesReader(nil, incoming.Body, req.maxBodyBytes)
 	}
-	bufferLimit := int64(maxReplayableBytes)
-	if g.bufferedBytes.Load() > maxTotalBufferedBytes {
-		bufferLimit = digestBodyBytes
-	}
-	var buffer bytes.Buffer
-	if incoming.ContentLength > 0 {
-		buffer.Grow(int(min(bufferLimit, incoming.ContentLength) + bytes.MinRead))
-	}
-	_, err := buffer.ReadFrom(io.LimitReader(incoming.Body, bufferLimit))
-	req.body.prefix = buffer.Bytes()
-	g.bufferedBytes.Add(int64(len(req.body.prefix)))
+	complete, err := req.bufferBody()
 	if err != nil {
 		g.releaseBody(req)
 		return bodyRefusal(err)
 	}
-	if int64(len(req.body.prefix)) < bufferLimit {
+	if complete {
 		req.body.length = int64(len(req.body.prefix))
 	} else {
 		req.body.remainder = incoming.Body
@@ -128,8 +121,53 @@
 	return nil
 }
 
+// errNoMemory is the error of reading a body for whose beginning there is no room.
+var errNoMemory = errors.New("no memory is left for the body")
+
+// bufferBody reads the body into the prefix, up to maxReplayableBytes, or as much as there is
+// memory for, and reports whether that is all of it.
+func (r *proxyRequest) bufferBody() (complete bool, err error) {
+	account := budget.FromContext(r.incoming.Context())
+	limit := maxReplayableBytes
+	if length := r.incoming.ContentLength; length >= 0 && length < maxReplayableBytes {
+		// The end of the body shows with the read behind its last byte.
+		limit = int(length) + 1
+	}
+	for size := min(minBodyBufferBytes, limit); len(r.body.prefix) < limit; size = min(2*size, limit) {
+		if !account.Reserve(int64(size)) {
+			if len(r.body.prefix) < min(digestBodyBytes, limit) {
+				return false, errNoMemory
+			}
+			return false, nil
+		}
+		r.body.prefix = append(make([]byte, 0, size), r.body.prefix...)
+		account.Release(r.body.reserved)
+		r.body.reserved = int64(size)
+		for len(r.body.prefix) < size {
+			count, err := r.incoming.Body.Read(r.body.prefix[len(r.body.prefix):size])
+			r.body.prefix = r.body.prefix[:len(r.body.prefix)+count]
+			switch {
+			case errors.Is(err, io.EOF):
+				return true, nil
+			case err != nil:
+				return false, err
+			}
+		}
+	}
+	return false, nil
+}
+
 // bodyRefusal returns the refusal for a request whose body could not be read.
 func bodyRefusal(err error) *refusal {
+	switch {
+	case errors.Is(err, errNoMemory):
+		return notRunRefusal(outcome.ReasonNoRoom, shortRetryAfter)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &refusal{
+			status: http.StatusRequestTimeout,
+			reason: outcome.ReasonBodyBroken,
+		}
+	}
 	status := http.StatusBadRequest
 	if tooLarge(err) {
 		status = http.StatusRequestEntityTooLarge
@@ -146,9 +184,10 @@
 	return errors.As(err, &sizeErr)
 }
 
-// releaseBody subtracts a request's buffered bytes from the gateway's total.
+// releaseBody returns the memory of the buffered part of a request's body.
 func (g *Gateway) releaseBody(req *proxyRequest) {
-	g.bufferedBytes.Add(-int64(len(req.body.prefix)))
+	budget.FromContext(req.incoming.Context()).Release(req.body.reserved)
+	req.body.reserved = 0
 }
 
 // setIdentity computes the digests by which the quarantine recognises a request that comes
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
 
@@ -64,8 +65,6 @@
 
 	// inFlight counts the requests being served.
 	inFlight atomic.Int64
-	// bufferedBytes is the total size of the buffered request bodies.
-	bufferedBytes atomic.Int64
 	// statementWarnedAt is when the last line about a statement that can't be decoded was
 	// logged, in nanoseconds of Unix time.
 	statementWarnedAt atomic.Int64
@@ -149,6 +148,10 @@
 		req.detachEnding = context.AfterFunc(g.Ending, cancel)
 		defer req.detachEnding()
 	}
+	// A caller that has sent no whole body by its own deadline has left.
+	if err := http.NewResponseController(w).SetReadDeadline(req.callerDeadline); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		g.warnLine(req, "deadline-unset").Err(err).Msg("")
+	}
 	if refused := g.readBody(req); refused != nil {
 		g.refuse(w, req, *refused)
 		return
--- a/entry/gateway/limits.go
+++ b/entry/gateway/limits.go
@@ -62,6 +62,10 @@
 	// MaxConns returns the maximum number of open connections. It keeps the entry from
 	// running out of file descriptors. If MaxConns is nil, there is no maximum.
 	MaxConns func() int
+	// Evict closes a connection that waits for its client to send or to take something, and reports
+	// whether there was one. It is called while there are more connections than the maximum and none
+	// is idle. It may be nil.
+	Evict func() bool
 
 	mu sync.Mutex
 	// conns holds the open connections.
@@ -114,10 +118,17 @@
 func (l *ConnLimiter) ConnState(conn net.Conn, state http.ConnState) {
 	limits := l.limits()
 	l.mu.Lock()
-	defer l.mu.Unlock()
+	full := false
+	defer func() {
+		l.mu.Unlock()
+		if full && l.Evict != nil {
+			// The http.Server calls ConnState again for the connection that is closed.
+			l.Evict()
+		}
+	}()
 	switch state {
 	case http.StateNew:
-		l.add(conn, cmp.Or(limits.IdleTimeout, defaultIdleTimeout))
+		full = l.add(conn, cmp.Or(limits.IdleTimeout, defaultIdleTimeout))
 	case http.StateIdle:
 		l.markIdle(l.conns[conn], cmp.Or(limits.IdleTimeout, defaultIdleTimeout))
 	case http.StateActive:
@@ -141,8 +152,9 @@
 
 // add starts tracking a new connection as idle and starts its idle timeout. While there
 // are more connections than the maximum, it closes the one that has been idle longest,
-// but not the new one, nor one on which a request waits to be read. l.mu must be held.
-func (l *ConnLimiter) add(conn net.Conn, idleTimeout time.Duration) {
+// but not the new one, nor one on which a request waits to be read. full reports whether there are
+// still more. l.mu must be held.
+func (l *ConnLimiter) add(conn net.Conn, idleTimeout time.Duration) (full bool) {
 	if l.conns == nil {
 		l.conns = make(map[net.Conn]*callerConn)
 	}
@@ -160,6 +172,7 @@
 			l.closeConn(oldest)
 		}
 	}
+	return l.MaxConns != nil && len(l.conns) > l.MaxConns()
 }
 
 // markIdle records that a connection has no request and starts its idle timeout. l.mu
--- a/entry/handlers.go
+++ b/entry/handlers.go
@@ -13,17 +13,33 @@
 	"github.com/teaselstack/teaselstack/entry/operator"
 	"github.com/teaselstack/teaselstack/entry/pipeline"
 	"github.com/teaselstack/teaselstack/header"
+	"github.com/teaselstack/teaselstack/routing"
 )
 
-// newServer returns an HTTP server with the time and size limits of the settings.
-func (n *node) newServer(handler http.Handler) *http.Server {
+// newConnections returns the bounds of the connections with the limits of the settings.
+func (n *node) newConnections() *connections {
 	limits := n.settings.Limits
-	return &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: time.Duration(limits.HeaderTimeout),
-		IdleTimeout:       time.Duration(limits.IdleTimeout),
-		MaxHeaderBytes:    headerReadFactor * limits.HeaderBytes,
+	bounds := newConnections(
+		func() int64 { return int64(limits.MemoryMB) << 20 },
+		func() int { return headerReadFactor * limits.HeaderBytes }, n.logger, n.metrics)
+	timeouts := &routing.Configuration{
+		Limits: routing.Limits{
+			HeaderTimeout: time.Duration(limits.HeaderTimeout),
+			IdleTimeout:   time.Duration(limits.IdleTimeout),
+		},
 	}
+	bounds.limiter.Configuration = func() *routing.Configuration { return timeouts }
+	bounds.limiter.MaxConns = func() int { return limits.Connections }
+	return bounds
+}
+
+// newServer returns an HTTP server with the time and size limits of the settings.
+func (n *node) newServer(handler *pipeline.Handler) *http.Server {
+	server := n.connections.newServer(handler)
+	server.ReadHeaderTimeout = time.Duration(n.settings.Limits.HeaderTimeout)
+	server.IdleTimeout = time.Duration(n.settings.Limits.IdleTimeout)
+	server.MaxHeaderBytes = headerReadFactor * n.settings.Limits.HeaderBytes
+	return server
 }
 
 // callersHandler serves look-ups, and forwards all other requests of callers.
--- a/entry/main.go
+++ b/entry/main.go
@@ -100,6 +100,7 @@
 		return exitFailed
 	}
 	n := newNode(loaded, logger)
+	n.connections.limitHeap()
 	if err := n.serve(ctx, open); err != nil {
 		logger.Error().Str("event", "serve-failed").Err(err).Msg("")
 		return exitFailed
@@ -125,6 +126,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	n := newPlatformNode(loaded, logger, buffer.Dropped)
+	n.connections.limitHeap()
 	open, err := n.listen()
 	if err != nil {
 		logger.Error().Str("event", "listen-failed").Err(err).Msg("")
--- a/entry/node.go
+++ b/entry/node.go
@@ -65,6 +65,8 @@
 	keys *key.Register
 	// suspects holds the requests that may crash backend servers.
 	suspects quarantine.List
+	// connections bounds what the connections to all listeners hold.
+	connections *connections
 	// dispatcher forwards callers' requests.
 	dispatcher *dispatch.Dispatcher
 	// lookupServer answers look-ups.
@@ -137,6 +139,7 @@
 		events:        timeline.NewRing(loaded.Name, loaded.Limits.TimelineEvents, clock),
 	}
 	registerRuntimeGauges(n.metrics)
+	n.connections = n.newConnections()
 	n.peerClient = n.newPeerClient()
 	platformClient := newPlatform(n.newTransport())
 	n.vmStatus.VMs = platformClient.VMs
@@ -321,15 +324,14 @@
 	group.Go(func() { n.health.Run(background) })
 	group.Go(func() { n.keys.Run(background) })
 	failures := make(chan error, 3)
-	callerServer := n.newServer(n.pipeline)
-	callerServer.ConnContext = n.pipeline.ConnContext
-	callerServer.ConnState = n.pipeline.ConnState
+	peers := n.connections.newReader(n.peersHandler())
+	operators := n.connections.newReader(n.operatorsHandler())
 	servers := []*http.Server{
-		callerServer,
-		n.newServer(n.peersHandler()),
-		n.newServer(n.operatorsHandler()),
+		n.newServer(n.pipeline),
+		n.newServer(peers),
+		n.newServer(operators),
 	}
-	for i, listener := range []net.Listener{n.pipeline.Listener(open.callers), open.peers, open.operators} {
+	for i, listener := range []net.Listener{n.pipeline.Listener(open.callers), peers.Listener(open.peers), operators.Listener(open.operators)} {
 		group.Go(func() {
 			if err := servers[i].Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 				failures <- err
--- a/entry/pipeline/conn.go
+++ b/entry/pipeline/conn.go
@@ -7,11 +7,19 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/teaselstack/teaselstack/entry/budget"
 )
 
+// errNoMemory is the error of a read for whose bytes there is no room in the budget.
+var errNoMemory = errors.New("no memory is left for the connection")
+
 // conn is a caller's connection. Its Read returns the bytes of one request at a time: the
 // http.Server gets none of the next request while it serves one. Instead of bytes, Read
 // then reads ahead, and starts the idempotent requests that it finds. The http.Server
@@ -24,6 +32,9 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
+	// account is what the connection holds of the budget, nil if there is none.
+	account *budget.Account
+
 	// used is true once a request has begun. It is guarded by the mutex of the handler.
 	used bool
 
@@ -32,8 +43,28 @@
 	phase phase
 	// pending holds the bytes that were received and not yet returned by Read.
 	pending []byte
+	// begun is true from the first byte of a request that was not started early until Read has
+	// returned its whole header.
+	begun bool
+	// scanned is the size of the part of pending that is known not to complete the header of the
+	// next request, and headerSize the size of that header, 0 while it is not complete.
+	scanned    int
+	headerSize int
 	// header holds what Read has returned of the current request's header.
 	header []byte
+	// opaqueHeader is the number of bytes that Read has returned since the last handler returned, in
+	// phaseOpaque.
+	opaqueHeader int
+	// exhausted is true if there was no memory for further headers in phaseOpaque.
+	exhausted bool
+	// headerCost is what was reserved for the parsed header of the current request, and answeredCost
+	// for requests whose handlers have returned. The http.Server keeps those until it has written
+	// their responses, for which it may wait for the rest of their bodies.
+	headerCost   int64
+	answeredCost int64
+	// receiving is true from the first byte of a request until Read has returned it whole. The
+	// account waits then.
+	receiving bool
 	// left is the number of bytes that Read still returns of the current request, in
 	// phaseRest.
 	left int64
@@ -47,6 +78,9 @@
 	// response.
 	counted   bool
 	unwritten int
+	// responding is true from the moment when a handler begins until the http.Server has written its
+	// response.
+	responding bool
 	// handlerDone is closed when the handler of the current request returns. It is nil
 	// while no handler runs.
 	handlerDone chan struct{}
@@ -74,7 +108,9 @@
 type phase uint8
 
 const (
-	// phaseHeader is the header of the current request, or the beginning of the next one.
+	// phaseHeader is the header of the current request, or the beginning of the next one. Read
+	// returns nothing of it before it is complete: the http.Server would parse it line by line, which
+	// takes many times the memory.
 	phaseHeader phase = iota
 	// phaseHeaderRead means that the whole header was returned. Whether a body follows isn't
 	// known yet.
@@ -86,7 +122,8 @@
 	// phaseComplete means that the whole request was returned.
 	phaseComplete
 	// phaseOpaque means that the ends of requests aren't known, for the rest of the
-	// connection. Read then returns what it receives.
+	// connection. Read then returns what it receives, but no more than a header may have between
+	// two requests.
 	phaseOpaque
 )
 
@@ -111,6 +148,10 @@
 		handler: h,
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
+	if h.Budget != nil {
+		c.account = h.Budget.Open(c.evict)
+		c.ctx = budget.NewContext(c.ctx, c.account)
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.conns == nil {
@@ -120,6 +161,13 @@
 	return c
 }
 
+// evict ends the connection, so that the http.Server, whose reads and writes fail then, closes it.
+func (c *conn) evict() {
+	c.cancel()
+	// The connection is closed again by the http.Server, which handles errors.
+	_ = c.Conn.Close()
+}
+
 // Close closes the connection and cancels the requests that were started early.
 func (c *conn) Close() error {
 	c.cancel()
@@ -141,6 +189,7 @@
 	for _, early := range abandoned {
 		early.abandon()
 	}
+	c.account.Close()
 	c.handler.forget(c, requests)
 	if linger {
 		c.awaitCallerClose()
@@ -178,7 +227,9 @@
 // Write implements net.Conn. It logs the request whose response can't be delivered: the
 // http.Server writes the end of a response after its handler has returned.
 func (c *conn) Write(p []byte) (int, error) {
+	c.account.Wait()
 	count, err := c.Conn.Write(p)
+	c.account.Resume()
 	if err != nil {
 		c.mu.Lock()
 		id := c.requestID
@@ -205,11 +256,15 @@
 func (c *conn) Read(p []byte) (int, error) {
 	for {
 		c.mu.Lock()
-		count, err := c.take(p)
+		count, refused, err := c.take(p)
+		began := count > 0 || len(c.pending) > 0
 		full := len(c.pending) >= maxPendingBytes
 		handlerDone := c.handlerDone
 		c.mu.Unlock()
-		if count > 0 && handlerDone == nil && c.handler.RequestBegan != nil {
+		if refused != 0 {
+			return 0, c.refuse(refused)
+		}
+		if began && handlerDone == nil && c.handler.RequestBegan != nil {
 			c.handler.RequestBegan(c)
 		}
 		if count > 0 || err != nil {
@@ -224,11 +279,30 @@
 			}
 		}
 		if err := c.fill(); err != nil {
+			if c.endsInHeader() {
+				continue
+			}
 			return 0, err
 		}
 	}
 }
 
+// endsInHeader reports whether the caller has left in the middle of a request's header. The
+// http.Server then gets what there is of it, as it would without this package.
+func (c *conn) endsInHeader() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ctx.Err() == nil || c.phase != phaseHeader || !c.begun || c.headerSize > 0 || len(c.pending) == 0 {
+		return false
+	}
+	cost := budget.HeaderCost(c.pending)
+	if !c.account.Reserve(cost) {
+		return false
+	}
+	c.headerSize, c.headerCost = len(c.pending), cost
+	return true
+}
+
 // fill reads from the network into pending, starts the requests that it completes, and counts
 // the one that it begins.
 func (c *conn) fill() error {
@@ -242,6 +316,10 @@
 	if count == 0 {
 		return err
 	}
+	if !c.account.Reserve(pendingCost(count)) {
+		// The connection is closed, as the http.Server does after an error.
+		return errNoMemory
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pending = append(c.pending, buffer[:count]...)
@@ -251,27 +329,31 @@
 }
 
 // take moves bytes from pending to p, as many as belong to the current request. It returns
-// no bytes if pending is empty, or if the current request is being served and was returned
-// whole. c.mu must be held.
-func (c *conn) take(p []byte) (int, error) {
-	if c.closed {
-		return 0, net.ErrClosed
+// no bytes if pending is empty, if the header of a request isn't complete, or if the current
+// request is being served and was returned whole. refused is the status with which to refuse the
+// request that begins, or 0. c.mu must be held.
+func (c *conn) take(p []byte) (count, refused int, err error) {
+	if c.closed || c.account.Evicted() {
+		return 0, 0, net.ErrClosed
 	}
 	for len(c.pending) > 0 {
 		count := min(len(p), len(c.pending))
 		switch c.phase {
 		case phaseHeader:
-			if len(c.header) == 0 && c.current == nil {
+			if !c.begun {
 				c.nextRequest()
 			}
 			if c.phase != phaseHeader {
 				continue
 			}
+			if complete, refused := c.completeHeader(); !complete {
+				return 0, refused, nil
+			}
 			count = c.takeHeader(count)
 		case phaseHeaderRead:
 			request, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(c.header)))
 			if err != nil {
-				c.phase = phaseOpaque
+				c.setOpaque()
 				continue
 			}
 			c.setBody(request)
@@ -286,7 +368,7 @@
 			var complete, known bool
 			count, complete, known = c.chunks.scan(c.pending[:count])
 			if !known {
-				c.phase = phaseOpaque
+				c.setOpaque()
 				continue
 			}
 			if complete {
@@ -295,20 +377,92 @@
 		case phaseComplete:
 			if c.serving {
 				c.countNext()
-				return 0, nil
+				return 0, 0, nil
 			}
 			c.phase = phaseHeader
 			continue
+		case phaseOpaque:
+			if !c.serving {
+				c.opaqueHeader += count
+			}
+			if c.opaqueHeader > c.handler.maxHeaderBytes() || c.exhausted && !c.serving {
+				return 0, 0, io.EOF
+			}
 		}
 		copy(p, c.pending[:count])
 		c.discardPending(count)
-		return count, nil
+		c.setReceiving(c.phase != phaseComplete)
+		return count, 0, nil
 	}
-	return 0, nil
+	return 0, 0, nil
+}
+
+// setReceiving records whether a request is being received, and makes the account wait meanwhile.
+// c.mu must be held.
+func (c *conn) setReceiving(receiving bool) {
+	if receiving == c.receiving {
+		return
+	}
+	c.receiving = receiving
+	if receiving {
+		c.account.Wait()
+	} else {
+		c.account.Resume()
+	}
+}
+
+// completeHeader reports whether the header at the beginning of pending is complete, and the memory
+// for it is reserved. refused is the status with which to refuse its request, or 0. c.mu must be
+// held.
+func (c *conn) completeHeader() (complete bool, refused int) {
+	if c.headerSize > 0 {
+		return true, 0
+	}
+	c.setReceiving(true)
+	size := headerEnd(c.pending, c.scanned)
+	c.scanned = len(c.pending)
+	switch {
+	case size > 0 && size <= c.handler.maxHeaderBytes():
+	case size > 0 || len(c.pending) > c.handler.maxHeaderBytes():
+		return false, http.StatusRequestHeaderFieldsTooLarge
+	default:
+		return false, 0
+	}
+	cost := budget.HeaderCost(c.pending[:size])
+	if !c.account.Reserve(cost) {
+		return false, http.StatusServiceUnavailable
+	}
+	c.headerSize, c.headerCost, c.scanned = size, cost, 0
+	return true, 0
+}
+
+// refuse answers the request that begins, instead of the http.Server, which gets none of it, and
+// returns the error with which Read ends the connection. There is no answer while the http.Server
+// writes the one before.
+func (c *conn) refuse(status int) error {
+	c.mu.Lock()
+	responding := c.responding
+	c.closing = true
+	c.mu.Unlock()
+	if responding {
+		return io.EOF
+	}
+	if c.handler.OnRefused != nil {
+		c.handler.OnRefused(status)
+	}
+	answer := "HTTP/1.1 " + strconv.Itoa(status) + " " + http.StatusText(status) + "\r\nConnection: close\r\nContent-Length: 0\r\n"
+	if status == http.StatusServiceUnavailable {
+		answer += "Retry-After: 1\r\n"
+	}
+	if _, err := c.Write([]byte(answer + "\r\n")); err != nil {
+		return err
+	}
+	return io.EOF
 }
 
 // discardPending removes bytes from the beginning of pending. c.mu must be held.
 func (c *conn) discardPending(count int) {
+	c.account.Release(pendingCost(count))
 	c.pending = c.pending[count:]
 	if len(c.pending) == 0 {
 		c.pending = nil
@@ -327,7 +481,7 @@
 		return
 	}
 	c.counted = c.nextCounted || c.handler.admit(c)
-	c.nextCounted, c.barrier, c.requestID = false, false, ""
+	c.begun, c.nextCounted, c.barrier, c.requestID = true, false, false, ""
 }
 
 // countNext counts the request behind the current one and those in early as outstanding, once
@@ -350,35 +504,36 @@
 }
 
 // takeHeader appends up to count bytes of pending to the current request's header, but
-// none behind the empty line that ends it, and returns how many. c.mu must be held.
+// none behind its end, and returns how many. c.mu must be held.
 func (c *conn) takeHeader(count int) int {
-	before := len(c.header)
+	count = min(count, c.headerSize-len(c.header))
 	c.header = append(c.header, c.pending[:count]...)
-	end := headerEnd(c.header, before)
-	switch {
-	case end > 0:
-		c.header = c.header[:end]
-		c.phase, c.serving = phaseHeaderRead, true
-		return end - before
-	case len(c.header) > maxPendingBytes:
-		c.header, c.phase = nil, phaseOpaque
+	if len(c.header) == c.headerSize {
+		c.phase, c.serving, c.begun, c.headerSize = phaseHeaderRead, true, false, 0
 	}
 	return count
 }
 
+// setOpaque records that the ends of requests aren't known, and reserves the memory that the
+// http.Server may need for their headers. If there is none, the connection ends. c.mu must be held.
+func (c *conn) setOpaque() {
+	c.phase = phaseOpaque
+	c.exhausted = !c.account.Reserve(budget.MaxHeaderCost(c.handler.maxHeaderBytes()))
+}
+
 // setBody sets what follows the current request's header. c.mu must be held.
 func (c *conn) setBody(request *http.Request) {
 	switch {
 	case isChunked(request):
 		c.phase, c.chunks = phaseChunks, chunkScanner{}
 	case !hasKnownSize(request):
-		c.phase = phaseOpaque
+		c.setOpaque()
 	case request.ContentLength > 0:
 		c.phase, c.left = phaseRest, request.ContentLength
 	default:
 		c.phase = phaseComplete
 	}
-	c.header = c.header[:0]
+	c.header = nil
 }
 
 // begin records that the handler of the current request begins. It returns the early start
@@ -390,7 +545,7 @@
 	if c.phase == phaseHeaderRead {
 		c.setBody(request)
 	}
-	c.serving = true
+	c.serving, c.responding, c.opaqueHeader = true, true, 0
 	c.handlerDone = make(chan struct{})
 	c.requestID = request.Header.Get(c.handler.RequestIDHeader)
 	if c.closed {
@@ -414,7 +569,11 @@
 func (c *conn) end() {
 	c.mu.Lock()
 	close(c.handlerDone)
-	c.handlerDone, c.current, c.serving = nil, nil, false
+	c.answeredCost += c.headerCost
+	if c.current != nil {
+		c.answeredCost += c.current.cost
+	}
+	c.handlerDone, c.current, c.serving, c.headerCost = nil, nil, false, 0
 	if c.counted {
 		c.counted = false
 		c.unwritten++
@@ -426,7 +585,8 @@
 func (c *conn) written() {
 	c.mu.Lock()
 	count := c.unwritten
-	c.unwritten = 0
+	c.account.Release(c.answeredCost)
+	c.unwritten, c.answeredCost, c.responding = 0, 0, false
 	c.mu.Unlock()
 	c.handler.release(count)
 }
@@ -446,7 +606,12 @@
 			c.barrier = true
 			return
 		}
+		cost := budget.HeaderCost(c.pending[c.examined : c.examined+size])
+		if !c.account.TryReserve(cost) {
+			return
+		}
 		if !c.handler.admitEarly() {
+			c.account.Release(cost)
 			return
 		}
 		if c.nextCounted {
@@ -455,6 +620,6 @@
 		}
 		c.barrier = !allowsEarlySuccessor(request)
 		c.examined += size
-		c.early = append(c.early, c.handler.start(c, request, size))
+		c.early = append(c.early, c.handler.start(c, request, size, cost))
 	}
 }
--- a/entry/pipeline/exchange.go
+++ b/entry/pipeline/exchange.go
@@ -5,6 +5,8 @@
 	"maps"
 	"net/http"
 	"sync"
+
+	"github.com/teaselstack/teaselstack/entry/budget"
 )
 
 // exchange is a request that was started early, and its response. It is the ResponseWriter
@@ -13,8 +15,11 @@
 type exchange struct {
 	handler *Handler
 	request *http.Request
-	// size is the size of the request on the connection, in bytes.
+	// account is that of the connection.
+	account *budget.Account
+	// size is the size of the request on the connection, in bytes, and cost what is reserved for it.
 	size int
+	cost int64
 	// turn is closed by deliver.
 	turn chan struct{}
 	// done is closed when the handler has returned or panicked.
@@ -38,7 +43,7 @@
 }
 
 // start starts a request of a connection before the http.Server has read it.
-func (h *Handler) start(c *conn, request *http.Request, size int) *exchange {
+func (h *Handler) start(c *conn, request *http.Request, size int, cost int64) *exchange {
 	ctx, cancel := context.WithCancel(c.ctx)
 	request = request.WithContext(ctx)
 	request.RemoteAddr = c.RemoteAddr().String()
@@ -46,6 +51,8 @@
 		handler: h,
 		request: request,
 		size:    size,
+		cost:    cost,
+		account: c.account,
 		turn:    make(chan struct{}),
 		done:    make(chan struct{}),
 		header:  make(http.Header),
@@ -91,7 +98,7 @@
 		return
 	}
 	e.abandoned = true
-	e.handler.hold(-len(e.held))
+	e.account.Release(int64(len(e.held)))
 	e.held = nil
 }
 
@@ -140,7 +147,7 @@
 func (e *exchange) holdContent(content []byte) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.writer != nil || e.abandoned || !e.handler.hold(len(content)) {
+	if e.writer != nil || e.abandoned || !e.account.TryReserve(int64(len(content))) {
 		return false
 	}
 	e.held = append(e.held, content...)
@@ -159,7 +166,7 @@
 	if len(e.held) > 0 {
 		// A write fails only if the caller has left, which also ends the context.
 		_, _ = writer.Write(e.held)
-		e.handler.hold(-len(e.held))
+		e.account.Release(int64(len(e.held)))
 		e.held = nil
 	}
 	e.mu.Unlock()
--- a/entry/pipeline/pipeline.go
+++ b/entry/pipeline/pipeline.go
@@ -17,6 +17,8 @@
 
 	"github.com/go-faster/errors"
 	"github.com/phuslu/log"
+
+	"github.com/teaselstack/teaselstack/entry/budget"
 )
 
 // Handler is the http.Handler of an http.Server whose connections come from Listener and
@@ -39,6 +41,14 @@
 	// HeaderRead, if not nil, is called with the context of each request that the
 	// http.Server has read.
 	HeaderRead func(ctx context.Context)
+	// Budget bounds the memory of all connections. If it is nil, there is no bound.
+	Budget *budget.Budget
+	// MaxHeaderBytes returns the largest size of a request's header, together with the request
+	// line; a larger one is refused. If it is nil or returns 0, that is maxPendingBytes.
+	MaxHeaderBytes func() int
+	// OnRefused, if not nil, is called when a request is refused before the http.Server gets any
+	// of it, with the status.
+	OnRefused func(status int)
 	// RequestIDHeader is the name of the header with a request's ID, for the log.
 	RequestIDHeader string
 	Logger          *log.Logger
@@ -60,8 +70,6 @@
 	outstanding int
 	// started is the number of requests that were ever started early.
 	started int64
-	// heldBytes is the size of the response bodies that are held back.
-	heldBytes int64
 }
 
 // Limits of what is read ahead and held back. Beyond them, a request waits for the
@@ -73,10 +81,6 @@
 	// maxPendingBytes is the size of the requests that are read ahead on a connection, at
 	// which reading stops. A request of that size or more is not started early.
 	maxPendingBytes = 64 << 10
-	// maxHeldBytes is the maximum size of the response bodies that are held back on all
-	// connections together, an eighth of the memory of the smallest VM. A response beyond it
-	// is read from its server once its turn has come.
-	maxHeldBytes = 32 << 20
 )
 
 // connKey is the context key of a request's *conn.
@@ -85,6 +89,9 @@
 // ConnContext returns a context from which ServeHTTP finds the connection of a request. It
 // is a hook for http.Server.ConnContext.
 func (h *Handler) ConnContext(ctx context.Context, connection net.Conn) context.Context {
+	if c, ok := connection.(*conn); ok {
+		ctx = budget.NewContext(ctx, c.account)
+	}
 	return context.WithValue(ctx, connKey{}, connection)
 }
 
@@ -306,7 +313,7 @@
 func (h *Handler) admitEarly() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.refusing || h.ShuttingDown() || h.heldBytes >= maxHeldBytes {
+	if h.refusing || h.ShuttingDown() {
 		return false
 	}
 	h.outstanding++
@@ -329,16 +336,16 @@
 	h.outstanding -= requests
 }
 
-// hold adds to heldBytes and reports whether it did: it does not if the sum would exceed
-// maxHeldBytes. A negative number is always added.
-func (h *Handler) hold(bytes int) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if bytes > 0 && h.heldBytes+int64(bytes) > maxHeldBytes {
-		return false
+// maxHeaderBytes returns the largest size of a request's header. A larger one than is read ahead
+// would never be complete.
+func (h *Handler) maxHeaderBytes() int {
+	if h.MaxHeaderBytes == nil {
+		return maxPendingBytes
 	}
-	h.heldBytes += int64(bytes)
-	return true
+	if limit := h.MaxHeaderBytes(); limit > 0 {
+		return limit
+	}
+	return maxPendingBytes
 }
 
 // closingWriter is a ResponseWriter that asks the caller to close the connection if the
--- a/entry/pipeline/request.go
+++ b/entry/pipeline/request.go
@@ -95,3 +95,10 @@
 	}
 	return 0
 }
+
+// pendingFactor is the factor by which the memory of received bytes exceeds their number, as the
+// buffer grows by doubling.
+const pendingFactor = 2
+
+// pendingCost returns the memory of a number of received bytes.
+func pendingCost(count int) int64 { return pendingFactor * int64(count) }
--- a/entry/platform_node.go
+++ b/entry/platform_node.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -49,8 +50,8 @@
 	gateway *gateway.Gateway
 	// pipeline passes callers' requests to the gateway, pipelined ones concurrently.
 	pipeline *pipeline.Handler
-	// limiter limits callers' connections.
-	limiter *gateway.ConnLimiter
+	// connections bounds what the connections to all listeners hold.
+	connections *connections
 	// suspects holds the requests that may crash backend servers.
 	suspects quarantine.List
 	// trials lets quarantined requests run once more.
@@ -195,17 +196,14 @@
 		Logger:       logger,
 		Metrics:      n.metrics,
 	}
-	n.limiter = &gateway.ConnLimiter{
-		Configuration: n.registry.Configuration,
-		MaxConns:      n.maxCallerConns,
-	}
+	n.connections = newConnections(n.memoryLimit, n.maxHeaderBytes, logger, n.metrics)
+	n.connections.limiter.Configuration = n.registry.Configuration
+	n.connections.limiter.MaxConns = n.maxConns
 	n.pipeline = &pipeline.Handler{
 		Next:            n.gateway,
 		Refuse:          http.HandlerFunc(n.gateway.RefuseStopping),
 		Idempotent:      n.idempotent,
 		ShuttingDown:    n.shuttingDown.Load,
-		RequestBegan:    n.limiter.RequestBegan,
-		HeaderRead:      gateway.StopHeaderTimeout,
 		RequestIDHeader: platform.HeaderNames.RequestID,
 		Logger:          logger,
 	}
@@ -321,16 +319,29 @@
 }
 
 const (
-	// callerConnShare is the fraction of the file descriptors for callers' connections,
+	// connShare is the fraction of the file descriptors for connections to the listeners,
 	// and idleConnShare the fraction for idle connections to servers. The rest is for
-	// requests in flight, look-ups, the store and peers.
-	callerConnShare = 0.5
-	idleConnShare   = 0.2
+	// requests in flight, the store and peers.
+	connShare     = 0.5
+	idleConnShare = 0.2
 )
 
-// maxCallerConns returns the limit of open connections of callers.
-func (n *platformNode) maxCallerConns() int {
-	return int(callerConnShare * float64(n.settings.Load().MaxDescriptors))
+// maxConns returns the limit of open connections to all listeners.
+func (n *platformNode) maxConns() int {
+	return int(connShare * float64(n.settings.Load().MaxDescriptors))
+}
+
+// memoryLimit returns the memory limit of the process in bytes.
+func (n *platformNode) memoryLimit() int64 {
+	return int64(cmp.Or(n.settings.Load().MemoryLimitMB, platform.DefaultMemoryLimitMB)) << 20
+}
+
+// maxHeaderBytes returns the limit of a header's size in the configuration, or 0 if there is none.
+func (n *platformNode) maxHeaderBytes() int {
+	if conf := n.registry.Configuration(); conf != nil {
+		return conf.Limits.MaxHeaderBytes
+	}
+	return 0
 }
 
 // maxIdleTotal returns the limit of idle connections to all servers together.
@@ -375,25 +386,10 @@
 	group.Go(func() { n.trials.run(background) })
 	group.Go(func() { n.closeStaleConns(background) })
 	group.Go(func() { n.watchSettings(background, reloadSignals) })
-	callerServer := &http.Server{
-		Handler: n.pipeline,
-		ConnState: func(conn net.Conn, state http.ConnState) {
-			n.limiter.ConnState(conn, state)
-			n.pipeline.ConnState(conn, state)
-		},
-		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
-			return n.pipeline.ConnContext(n.limiter.ConnContext(ctx, conn), conn)
-		},
-		ReadHeaderTimeout: maxHeaderTimeout,
-		IdleTimeout:       maxIdleTimeout,
-		ErrorLog:          n.logger.Std("http ", 0),
-	}
+	callerServer := n.connections.newServer(n.pipeline)
 	servers := []*http.Server{callerServer}
 	failures := make(chan error, maxListeners)
 	start := func(server *http.Server, listener net.Listener) {
-		if listener == nil {
-			return
-		}
 		group.Go(func() {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 				failures <- err
@@ -409,14 +405,15 @@
 		new(http.HandlerFunc(n.serveSnapshot)): open.snapshots,
 		new(http.HandlerFunc(n.serveMetrics)):  open.metrics,
 	} {
-		server := &http.Server{
-			Handler:           handler,
-			ReadHeaderTimeout: maxHeaderTimeout,
-			IdleTimeout:       maxIdleTimeout,
-			ErrorLog:          n.logger.Std("http ", 0),
+		if listener == nil {
+			continue
 		}
+		reader := n.connections.newReader(handler)
+		server := n.connections.newServer(reader)
+		// None of these requests has a body.
+		server.ReadTimeout = maxHeaderTimeout
 		servers = append(servers, server)
-		start(server, listener)
+		start(server, reader.Listener(listener))
 	}
 	settings := n.settings.Load()
 	n.logger.Info().Str("event", "started").Str("callers", settings.CallerAddress).Str("region", settings.Region).
@@ -434,12 +431,6 @@
 const (
 	// maxListeners is the maximum number of TCP listeners of a platformNode.
 	maxListeners = 5
-	// maxHeaderTimeout bounds the time to read a request's header, also if the
-	// configuration sets a longer timeout for callers.
-	maxHeaderTimeout = 30 * time.Second
-	// maxIdleTimeout bounds how long a connection stays idle, also if the configuration
-	// sets a longer timeout.
-	maxIdleTimeout = 10 * time.Minute
 )
 
 // serveReady answers the platform's readiness probe.
--- a/entry/platform_settings.go
+++ b/entry/platform_settings.go
@@ -58,5 +58,6 @@
 		return
 	}
 	n.settings.Store(&settings)
+	n.connections.limitHeap()
 	n.logger.Info().Str("event", "reloaded").Str("cause", cause).Strs("defaulted", settings.DefaultedKeys).Msg("")
 }
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -51,6 +51,10 @@
 	// HeaderBytes bounds the total size of a request's URI, host and headers, and the
 	// size of the message in a look-up, in bytes.
 	HeaderBytes int `toml:"header-bytes"`
+	// MemoryMB is the memory of the process in megabytes, of which a part bounds what all
+	// connections hold, and Connections the maximum number of open connections to all listeners.
+	MemoryMB    int `toml:"memory-mb"`
+	Connections int `toml:"connections"`
 	// HeaderTimeout bounds the time to read a request's header.
 	HeaderTimeout document.Duration `toml:"header-timeout"`
 	// IdleTimeout is how long an idle connection of a caller, peer or operator is kept.
@@ -73,6 +77,8 @@
 	return Settings{
 		Limits: Limits{
 			HeaderBytes:       16 << 10,
+			MemoryMB:          256,
+			Connections:       2048,
 			HeaderTimeout:     document.Duration(5 * time.Second),
 			IdleTimeout:       document.Duration(2 * time.Minute),
 			MaxDeadline:       document.Duration(10 * time.Minute),
@@ -159,6 +165,8 @@
 // validateLimits checks the settings in the table limits.
 func (v *validator) validateLimits(l Limits) {
 	v.requirePositive("limits.header-bytes", int64(l.HeaderBytes))
+	v.requirePositive("limits.memory-mb", int64(l.MemoryMB))
+	v.requirePositive("limits.connections", int64(l.Connections))
 	v.requireMinDuration("limits.header-timeout", l.HeaderTimeout)
 	v.requireMinDuration("limits.idle-timeout", l.IdleTimeout)
 	v.requireMinDuration("limits.max-deadline", l.MaxDeadline)
--- a/entry/upstream/upstream.go
+++ b/entry/upstream/upstream.go
@@ -19,6 +19,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/teaselstack/teaselstack/entry/budget"
 	"github.com/teaselstack/teaselstack/header"
 	"github.com/teaselstack/teaselstack/routing"
 )
@@ -59,6 +60,9 @@
 	// buffers before it returns. If the connection fails within that part, the request
 	// can still be retried, since the caller has received nothing yet.
 	maxPrefixBytes = 256 << 10
+	// minPrefixBytes is the size of the first buffer for a body of unknown length, in bytes. Each
+	// further one is twice as large.
+	minPrefixBytes = 4 << 10
 	// maxSyncBodyBytes is the largest request body, in bytes, that is sent in full
 	// before the response is read. It fits the smallest socket buffers, so that
 	// sending it doesn't block. The headers, which are sent before the body, are not
@@ -90,22 +94,43 @@
 type readLimit struct {
 	conn net.Conn
 	left int64
+	// account is that of the caller whose request is exchanged, and reserved what it has reserved
+	// for headers that were read since.
+	account  *budget.Account
+	reserved int64
 }
 
 // errTooLong is the error of a response whose header, or a body to be skipped, exceeds
 // maxHeaderBytes.
 var errTooLong = errors.New("response is too long")
 
-// Read reads from the connection.
+// errNoMemory is the error of a response for whose header the budget has no room.
+var errNoMemory = errors.New("no memory is left for the response")
+
+// Read reads from the connection. While left is limited, it reads a header.
 func (r *readLimit) Read(p []byte) (int, error) {
 	if r.left <= 0 {
 		return 0, errTooLong
 	}
 	count, err := r.conn.Read(p[:min(int64(len(p)), r.left)])
-	r.left -= int64(count)
+	if r.left != math.MaxInt64 {
+		cost := budget.HeaderCost(p[:count])
+		if !r.account.Reserve(cost) {
+			return 0, errNoMemory
+		}
+		r.reserved += cost
+		r.left -= int64(count)
+	}
 	return count, err
 }
 
+// setAccount sets the account that reserves memory for headers, and returns what was reserved
+// before to the last one.
+func (r *readLimit) setAccount(account *budget.Account) {
+	r.account.Release(r.reserved)
+	r.account, r.reserved = account, 0
+}
+
 // ErrServerNotEligible is the failure of an exchange whose server was no longer
 // eligible for requests once a connection to it was open. See Pool.Eligible.
 var ErrServerNotEligible = errors.New("server became ineligible for requests while connecting")
@@ -145,6 +170,8 @@
 	// Remainder reads the rest of the body, which may be empty. It is nil if Prefix
 	// is the whole body.
 	Remainder io.Reader
+	// reserved is the memory reserved for Prefix.
+	reserved int64
 	// ConnectTime is the time taken to open the connection; 0 if it was reused.
 	ConnectTime time.Duration
 	// Release returns the connection to the pool, or closes it if it can't be reused.
@@ -179,8 +206,11 @@
 		// Release closes the connection after that.
 		_ = conn.SetDeadline(time.Unix(1, 0))
 	})
-	response, failure := p.roundTrip(conn, server, request, id)
+	account := budget.FromContext(ctx)
+	conn.limit.setAccount(account)
+	response, failure := p.roundTrip(conn, account, server, request, id)
 	if failure != nil {
+		conn.limit.setAccount(nil)
 		stop()
 		conn.discard()
 		failure.ConnReused = reused
@@ -191,6 +221,8 @@
 	}
 	release := response.Release
 	response.Release = func() {
+		account.Release(response.reserved)
+		conn.limit.setAccount(nil)
 		if !stop() {
 			conn.discard()
 			return
@@ -206,7 +238,7 @@
 // roundTrip sends a request on a connection and reads the response. A small request
 // body is sent in full first. A larger one is sent while the response is read, since
 // a server may respond before it has read the whole body.
-func (p *Pool) roundTrip(conn *pooledConn, server *routing.Server, request *http.Request, id string) (*Response, *Failure) {
+func (p *Pool) roundTrip(conn *pooledConn, account *budget.Account, server *routing.Server, request *http.Request, id string) (*Response, *Failure) {
 	var sending sync.WaitGroup
 	var sendErr error
 	sendDone := make(chan struct{}) // closed when sending has succeeded or failed
@@ -244,7 +276,7 @@
 		}
 		return nil, failure
 	}
-	response, err := bufferPrefix(httpResponse)
+	response, err := bufferPrefix(httpResponse, account)
 	if err != nil {
 		conn.discard()
 		sending.Wait()
@@ -283,7 +315,7 @@
 			return nil, stray, &Failure{
 				MaybeSent:        true,
 				ResponseMismatch: stray,
-				ConnBroken:       true,
+				ConnBroken:       !errors.Is(err, errNoMemory),
 				Err:              errors.Wrap(err, "read answer"),
 			}
 		}
@@ -309,9 +341,9 @@
 	}
 }
 
-// bufferPrefix reads up to maxPrefixBytes of a response's body into Prefix. It sets
-// Remainder if the body may be longer.
-func bufferPrefix(response *http.Response) (*Response, error) {
+// bufferPrefix reads up to maxPrefixBytes of a response's body into Prefix, or as much as the
+// account has memory for. It sets Remainder if the body may be longer.
+func bufferPrefix(response *http.Response, account *budget.Account) (*Response, error) {
 	buffered := &Response{
 		Response: response,
 	}
@@ -319,23 +351,40 @@
 		// Its length is that of a body that does not follow.
 		return buffered, nil
 	}
-	var content []byte
-	if response.ContentLength >= 0 && response.ContentLength <= maxPrefixBytes {
-		content = make([]byte, response.ContentLength)
-		if _, err := io.ReadFull(response.Body, content); err != nil {
+	limit := maxPrefixBytes
+	if length := response.ContentLength; length >= 0 && length <= maxPrefixBytes {
+		if !account.Reserve(length) {
+			buffered.Remainder = response.Body
+			return buffered, nil
+		}
+		buffered.reserved = length
+		buffered.Prefix = make([]byte, length)
+		if _, err := io.ReadFull(response.Body, buffered.Prefix); err != nil {
+			account.Release(length)
 			return nil, err
 		}
-		buffered.Prefix = content
 		return buffered, nil
 	}
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxPrefixBytes))
-	if err != nil {
-		return nil, err
-	}
-	buffered.Prefix = content
-	if len(content) == maxPrefixBytes {
-		buffered.Remainder = response.Body
+	for size := minPrefixBytes; len(buffered.Prefix) < limit; size = min(2*size, limit) {
+		if !account.Reserve(int64(size)) {
+			break
+		}
+		buffered.Prefix = append(make([]byte, 0, size), buffered.Prefix...)
+		account.Release(buffered.reserved)
+		buffered.reserved = int64(size)
+		for len(buffered.Prefix) < size {
+			count, err := response.Body.Read(buffered.Prefix[len(buffered.Prefix):size])
+			buffered.Prefix = buffered.Prefix[:len(buffered.Prefix)+count]
+			if errors.Is(err, io.EOF) {
+				return buffered, nil
+			}
+			if err != nil {
+				account.Release(buffered.reserved)
+				return nil, err
+			}
+		}
 	}
+	buffered.Remainder = response.Body
 	return buffered, nil
 }
 
--- a/standin/gate/deployment_test.go
+++ b/standin/gate/deployment_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -256,6 +257,10 @@
 	for _, domain := range failureDomains {
 		lines = append(lines, "zones."+domain.name+"="+domain.region)
 	}
+	for _, extra := range d.extraSettings {
+		name, _, _ := strings.Cut(extra, "=")
+		lines = slices.DeleteFunc(lines, func(line string) bool { return strings.HasPrefix(line, name+"=") })
+	}
 	return strings.Join(append(lines, d.extraSettings...), "\n") + "\n"
 }
 
