entry/upstream: a reset seen by the sending side ends no response

What callers saw: an answer that was cut off looked complete, where a server without a length in its answer reset the connection in the middle while the request's body was still sent.

Cause: the system reports a reset to one call only. If that is a write of the goroutine that sends the body, the read of the response then ends like that of a closed connection, which ends such a response. Writes now note a reset, and the end of a response without a length asks for it, after it has ended a write in progress.

The own interface accepts no answer without length or chunks.

--- a/entry/upstream/upstream.go
+++ b/entry/upstream/upstream.go
@@ -85,6 +85,8 @@
 	writer *bufio.Writer
 	// limit bounds what reader may still read from the connection.
 	limit *readLimit
+	// sender is what writer writes to.
+	sender *resetWatcher
 	// expires is the time after which the idle connection may no longer be reused.
 	expires time.Time
 }
@@ -276,7 +278,7 @@
 		}
 		return nil, failure
 	}
-	response, err := bufferPrefix(httpResponse, account)
+	response, err := bufferPrefix(httpResponse, account, conn.sender)
 	if err != nil {
 		conn.discard()
 		sending.Wait()
@@ -343,7 +345,7 @@
 
 // bufferPrefix reads up to maxPrefixBytes of a response's body into Prefix, or as much as the
 // account has memory for. It sets Remainder if the body may be longer.
-func bufferPrefix(response *http.Response, account *budget.Account) (*Response, error) {
+func bufferPrefix(response *http.Response, account *budget.Account, sender *resetWatcher) (*Response, error) {
 	buffered := &Response{
 		Response: response,
 	}
@@ -352,6 +354,13 @@
 		return buffered, nil
 	}
 	limit := maxPrefixBytes
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		// The response ends with its connection.
+		response.Body = &unlessReset{
+			ReadCloser: response.Body,
+			sender:     sender,
+		}
+	}
 	if length := response.ContentLength; length >= 0 && length <= maxPrefixBytes {
 		if !account.Reserve(length) {
 			buffered.Remainder = response.Body
@@ -407,11 +416,15 @@
 	limit := &readLimit{
 		conn: opened,
 	}
+	sender := &resetWatcher{
+		conn: opened,
+	}
 	return &pooledConn{
 		Conn:   opened,
 		limit:  limit,
+		sender: sender,
 		reader: bufio.NewReaderSize(limit, 4<<10),
-		writer: bufio.NewWriterSize(opened, 4<<10),
+		writer: bufio.NewWriterSize(sender, 4<<10),
 	}, false, nil
 }
 
--- a/entry/upstream/upstream_test.go
+++ b/entry/upstream/upstream_test.go
@@ -432,3 +432,71 @@
 	assert.Equal(t, countReused(), 2)
 	assert.Equal(t, countReused(), 2)
 }
+
+// slowBody is a request body that is written in small pieces.
+type slowBody struct{ left int }
+
+func (b *slowBody) Read(p []byte) (int, error) {
+	if b.left == 0 {
+		return 0, io.EOF
+	}
+	count := min(b.left, len(p), 700)
+	b.left -= count
+	return count, nil
+}
+
+// TestResetIsNoEndOfResponse guards against a response without a length that counts as complete
+// although the server has reset the connection in the middle: the goroutine that still sends the
+// request's body may get the error of the reset, and the read then ends like that of a connection
+// that was closed.
+func TestResetIsNoEndOfResponse(t *testing.T) {
+	complete := 0
+	for number := range 1500 {
+		size := 2000 + number*331%1_000_000
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		assert.NilError(t, err)
+		serverGoroutines.Go(func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			reader := bufio.NewReader(conn)
+			if _, err := http.ReadRequest(reader); err != nil {
+				return
+			}
+			io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: one\r\nX-Stamp: s\r\n\r\n"+strings.Repeat("x", number*17%1600))
+			io.CopyN(io.Discard, reader, int64(number*101%5000))
+			conn.(*net.TCPConn).SetLinger(0)
+			conn.Close()
+		})
+		pool := &upstream.Pool{
+			HeaderNames: header.Names{
+				RequestID: "X-Id",
+			},
+			MaxIdlePerServer: func(string) int { return 0 },
+			Dial: func(context.Context, string) (net.Conn, error) {
+				return net.Dial("tcp4", listener.Addr().String())
+			},
+		}
+		request, err := http.NewRequest(http.MethodPost, "http://desk.example/", &slowBody{left: size})
+		assert.NilError(t, err)
+		request.ContentLength = int64(size)
+		response, failure := pool.Exchange(t.Context(), &routing.Server{}, request, "one")
+		if failure == nil {
+			if _, err := io.Copy(io.Discard, remainder(response)); err == nil {
+				complete++
+			}
+			response.Release()
+		}
+		listener.Close()
+	}
+	assert.Equal(t, complete, 0, "of 1500 responses that were reset")
+}
+
+// remainder returns the remainder of a response, which may have none.
+func remainder(response *upstream.Response) io.Reader {
+	if response.Remainder == nil {
+		return strings.NewReader("")
+	}
+	return response.Remainder
+}
