--- a/entry/upstream/reset.go
+++ b/entry/upstream/reset.go
@@ -31,13 +31,12 @@
 
 // wasReset reports whether a write has failed because of a reset. It ends a write in progress, which
 // may be the one that gets the error.
-func (w *resetWatcher) wasReset() (bool, error) {
-	if err := w.conn.SetWriteDeadline(time.Unix(1, 0)); err != nil {
-		return false, err
-	}
+func (w *resetWatcher) wasReset() bool {
+	// An error says that the connection is closed, which ends the write, too.
+	_ = w.conn.SetWriteDeadline(time.Unix(1, 0))
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.reset, nil
+	return w.reset
 }
 
 // unlessReset is a body that ends with its connection. Its reads fail at the end if the connection
@@ -50,15 +49,8 @@
 // Read reads from the body.
 func (b *unlessReset) Read(p []byte) (int, error) {
 	count, err := b.ReadCloser.Read(p)
-	if !errors.Is(err, io.EOF) {
-		return count, err
-	}
-	reset, deadlineErr := b.sender.wasReset()
-	switch {
-	case reset:
+	if errors.Is(err, io.EOF) && b.sender.wasReset() {
 		return count, syscall.ECONNRESET
-	case deadlineErr != nil:
-		return count, errors.Wrap(deadlineErr, "end sending the request")
 	}
-	return count, io.EOF
+	return count, err
 }
