entry/upstream: bytes that are no response end a request at once

What callers saw: a 504 after the timeout of their route, where a server had answered with status 000.

Cause: each status below 200 counted as an interim response, and what followed was read as the next one. Its first line had no end, so the read waited for the deadline.

Change: a status below 100, a 101, and bytes that don't begin like a response are none. The connection is closed, and the request ends or goes to another server at once. The server does not count as crashed.

Evidence: TestBytesThatAreNoResponse waited for its deadline before.

--- a/entry/upstream/upstream.go
+++ b/entry/upstream/upstream.go
@@ -312,12 +312,12 @@
 	broken := false
 	for range maxResponsesRead {
 		conn.limit.left = maxHeaderBytes
-		response, err := http.ReadResponse(conn.reader, request)
+		response, err := readHeader(conn.reader, request)
 		if err != nil {
 			return nil, stray, &Failure{
 				MaybeSent:        true,
 				ResponseMismatch: stray,
-				ConnBroken:       !errors.Is(err, errNoMemory),
+				ConnBroken:       !errors.Is(err, errNoMemory) && !errors.Is(err, errNoResponse),
 				Err:              errors.Wrap(err, "read answer"),
 			}
 		}
@@ -343,6 +343,34 @@
 	}
 }
 
+// errNoResponse is the error of bytes that are no HTTP response.
+var errNoResponse = errors.New("no HTTP response")
+
+// protocolPrefix is what each response begins with.
+const protocolPrefix = "HTTP/1."
+
+// readHeader reads the header of a response. It fails at once where the bytes received so far are no
+// response: the server may send nothing more, and keep the connection open.
+func readHeader(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
+	for size := 1; size <= len(protocolPrefix); size++ {
+		begin, err := reader.Peek(size)
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				err = io.ErrUnexpectedEOF
+			}
+			return nil, err
+		}
+		if !strings.HasPrefix(protocolPrefix, string(begin)) {
+			return nil, errNoResponse
+		}
+	}
+	response, err := http.ReadResponse(reader, request)
+	if err == nil && (response.StatusCode < http.StatusContinue || response.StatusCode == http.StatusSwitchingProtocols) {
+		return nil, errors.Wrapf(errNoResponse, "status %s", response.Status)
+	}
+	return response, err
+}
+
 // bufferPrefix reads up to maxPrefixBytes of a response's body into Prefix, or as much as the
 // account has memory for. It sets Remainder if the body may be longer.
 func bufferPrefix(response *http.Response, account *budget.Account, sender *resetWatcher) (*Response, error) {
--- a/entry/upstream/upstream_test.go
+++ b/entry/upstream/upstream_test.go
@@ -500,3 +500,37 @@
 	}
 	return response.Remainder
 }
+
+// TestBytesThatAreNoResponse guards against requests that wait for their deadline because a server
+// has sent what is no response, nor the beginning of one, and keeps the connection open.
+func TestBytesThatAreNoResponse(t *testing.T) {
+	for _, text := range []string{
+		"HTTP/1.1 000 None\r\nX-Id: one\r\nContent-Length: 4\r\n\r\nbody",
+		"HTTP/1.1 099 Low\r\nX-Id: one\r\n\r\nbody",
+		"HTTP/1.1 20 Short\r\nX-Id: one\r\n\r\n",
+		"HTTP/1.1 2000 Long\r\nX-Id: one\r\n\r\n",
+		"HTTP/1.1 101 Switching Protocols\r\nX-Id: one\r\n\r\nbody",
+		"HTTP/1.1 -20 Negative\r\n\r\n",
+		strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 1000),
+		"HTTP/1.1 103 Early Hints\r\n\r\nbody",
+		"HTTP/2.0 200 OK\r\n",
+		"body",
+		"\x00",
+	} {
+		ended := make(chan struct{})
+		pool, server := newServer(t, func(conn net.Conn, reader *bufio.Reader) {
+			if _, err := http.ReadRequest(reader); err == nil {
+				io.WriteString(conn, text)
+			}
+			// The connection stays open until the other side closes it.
+			io.Copy(io.Discard, reader)
+			close(ended)
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		_, failure := pool.Exchange(ctx, server, newRequest("one", "x"), "one")
+		assert.Assert(t, failure != nil && failure.MaybeSent, "%q", text)
+		assert.NilError(t, ctx.Err(), "%q", text)
+		<-ended
+		cancel()
+	}
+}
