entry/pipeline: a request whose caller left before it was read is not served

What callers saw: nothing; servers ran requests whose callers had left.

Cause: an entry that is behind reads a request long after it was received. net/http notices that the caller has left only while the handler runs, which had sent the request to a server by then. The end of the connection is now looked for before the handler runs.

TestRequestOfCallerThatLeftIsNotServed: 100 of 100 served before, none now.

--- a/entry/pipeline/conn.go
+++ b/entry/pipeline/conn.go
@@ -218,6 +218,25 @@
 	return nil, http.ErrNotSupported
 }
 
+// callerLeft reports whether the caller has closed its side and nothing is left to read: it did so
+// before its request was read. The http.Server notices only while the handler runs.
+func (c *conn) callerLeft() bool {
+	c.mu.Lock()
+	pending := len(c.pending)
+	c.mu.Unlock()
+	rawConn, err := c.SyscallConn()
+	if err != nil || pending > 0 {
+		return false
+	}
+	left := false
+	err = rawConn.Control(func(fd uintptr) {
+		var buffer [1]byte
+		count, _, err := syscall.Recvfrom(int(fd), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		left = err == nil && count == 0
+	})
+	return err == nil && left
+}
+
 // CloseWrite closes the sending side, if the network connection supports that. http.Server
 // calls it before it closes a connection with an unread body.
 func (c *conn) CloseWrite() error {
--- a/entry/pipeline/pipeline.go
+++ b/entry/pipeline/pipeline.go
@@ -125,6 +125,9 @@
 	switch {
 	case !open:
 		panic(http.ErrAbortHandler)
+	case early == nil && c.callerLeft():
+		h.Logger.Warn().Str("event", "caller-left").Str("id", request.Header.Get(h.RequestIDHeader)).Str("reason", "before-read").Msg("")
+		panic(http.ErrAbortHandler)
 	case early != nil:
 		early.deliver(writer)
 	case !admitted:
--- a/entry/pipeline/pipeline_test.go
+++ b/entry/pipeline/pipeline_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -626,3 +627,47 @@
 		assert.NilError(t, listener.Close())
 	}
 }
+
+// TestRequestOfCallerThatLeftIsNotServed guards against requests that are passed on although their
+// callers left before a busy entry read them.
+func TestRequestOfCallerThatLeftIsNotServed(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	var served atomic.Int32
+	handler := &pipeline.Handler{
+		Next:         http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) }),
+		Idempotent:   func(*http.Request) bool { return true },
+		ShuttingDown: func() bool { return false },
+		Logger: &log.Logger{
+			Writer: log.IOWriter{
+				Writer: io.Discard,
+			},
+		},
+	}
+	closed := make(chan struct{}, 100)
+	server := &http.Server{
+		Handler:     handler,
+		ConnContext: handler.ConnContext,
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			handler.ConnState(conn, state)
+			if state == http.StateClosed {
+				closed <- struct{}{}
+			}
+		},
+	}
+	for range 100 {
+		caller, err := net.Dial("tcp4", listener.Addr().String())
+		assert.NilError(t, err)
+		_, err = io.WriteString(caller, get("/safe/0/a"))
+		assert.NilError(t, err)
+		assert.NilError(t, caller.Close())
+	}
+	var group sync.WaitGroup
+	group.Go(func() { _ = server.Serve(handler.Listener(listener)) })
+	for range 100 {
+		<-closed
+	}
+	assert.NilError(t, server.Close())
+	group.Wait()
+	assert.Equal(t, served.Load(), int32(0))
+}
