entry/budget: a connection that is closed stops waiting for memory

One that was chosen to be closed while it waited for memory itself noticed that after two seconds at most.

--- a/entry/budget/budget.go
+++ b/entry/budget/budget.go
@@ -97,6 +97,8 @@
 	victim.forgetWait()
 	victim.evicted = true
 	b.evicting += victim.held
+	// The victim may itself wait for memory.
+	b.wake()
 	return eviction{
 		account: victim,
 		bytes:   victim.held,
@@ -182,9 +184,16 @@
 	if a.evicted {
 		a.budget.evicting += bytes
 	}
-	if bytes < 0 && a.budget.freed != nil {
-		close(a.budget.freed)
-		a.budget.freed = nil
+	if bytes < 0 {
+		a.budget.wake()
+	}
+}
+
+// wake lets those that wait for memory look again. The budget's lock must be held.
+func (b *Budget) wake() {
+	if b.freed != nil {
+		close(b.freed)
+		b.freed = nil
 	}
 }
 
