entry: a claim to a trial may be withdrawn while the store is asked for it

The success of the request elsewhere withdraws it; the handler of the request then failed on a claim that was gone. Found by reading; no run showed it.

--- a/entry/platform_trials.go
+++ b/entry/platform_trials.go
@@ -183,7 +183,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, digest := range trial.Claims {
-		unused := len(held) > 0 && t.claims[digest].sends == 0 && !t.claims[digest].ended
+		// The claim may have been withdrawn meanwhile.
+		claim := t.claims[digest]
+		unused := claim != nil && len(held) > 0 && claim.sends == 0 && !claim.ended
 		if unused || slices.Contains(held, digest) {
 			delete(t.claims, digest)
 		}
