entry/pipeline: tests of the memory of connections

The harness has a budget now, whose half bounds the responses that are held back: since the bound became the budget's, TestHeldResponsesAreBounded had run without one. Each test also checks that answered requests hold nothing.

--- a/entry/pipeline/harness_test.go
+++ b/entry/pipeline/harness_test.go
@@ -21,6 +21,7 @@
 	"github.com/phuslu/log"
 	"gotest.tools/v3/assert"
 
+	"github.com/teaselstack/teaselstack/entry/budget"
 	"github.com/teaselstack/teaselstack/entry/pipeline"
 )
 
@@ -52,6 +53,9 @@
 	logOutput  bytes.Buffer
 }
 
+// memoryLimit is the limit of the harness's budget. Half of it may hold responses back.
+const memoryLimit = 64 << 20
+
 // pipeListener is a net.Listener whose Accept returns the connections sent to conns. Like that of
 // a *net.TCPListener, its Accept has a deadline, and its Close fails if it is closed already.
 type pipeListener struct {
@@ -111,6 +115,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(true)
 		test(t, h)
+		synctest.Wait()
+		if h.handler.Outstanding() == 0 {
+			assert.Equal(t, h.handler.Budget.Held(), int64(0), "memory of requests that are answered")
+		}
 		h.close()
 		assert.Equal(t, h.handler.Outstanding(), 0)
 	})
@@ -134,6 +142,9 @@
 		Idempotent:      func(request *http.Request) bool { return strings.HasPrefix(request.URL.Path, "/safe/") },
 		ShuttingDown:    func() bool { h.mu.Lock(); defer h.mu.Unlock(); return h.shuttingDown },
 		RequestIDHeader: "X-Id",
+		Budget: &budget.Budget{
+			Limit: func() int64 { return memoryLimit },
+		},
 		Logger: &log.Logger{
 			Writer: log.IOWriter{
 				Writer: &h.logOutput,
--- a/entry/pipeline/pipeline_test.go
+++ b/entry/pipeline/pipeline_test.go
@@ -671,3 +671,49 @@
 	group.Wait()
 	assert.Equal(t, served.Load(), int32(0))
 }
+
+// TestHeadersWithoutRoomAreRefused checks that a header that is too large, or for which there is no
+// memory, is answered without being served, behind the whole response to the request before it.
+func TestHeadersWithoutRoomAreRefused(t *testing.T) {
+	large := "GET /effect/10/b HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("X-Line: v\r\n", 8000)
+	for _, test := range []struct {
+		name   string
+		sent   string
+		busy   int64
+		status int
+	}{
+		{
+			name:   "without end",
+			sent:   large,
+			status: http.StatusRequestHeaderFieldsTooLarge,
+		},
+		{
+			name:   "complete",
+			sent:   large + "\r\n",
+			status: http.StatusRequestHeaderFieldsTooLarge,
+		},
+		{
+			name:   "no memory",
+			sent:   get("/effect/10/b"),
+			busy:   memoryLimit - 1000,
+			status: http.StatusServiceUnavailable,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			withHarness(t, func(t *testing.T, h *harness) {
+				h.send(get("/effect/10/a"))
+				h.mustReceive(t, "/effect/10/a")
+				synctest.Wait()
+				busy := h.handler.Budget.Open(func() {})
+				assert.Assert(t, busy.Reserve(test.busy))
+				h.send(test.sent)
+				received, err := h.receive(http.MethodGet)
+				assert.NilError(t, err)
+				assert.Equal(t, received.status, test.status)
+				h.mustBeClosed(t)
+				assert.Equal(t, len(h.starts), 1)
+				busy.Close()
+			})
+		})
+	}
+}
