Review: a server that answers a long upload early gets other bytes

While the answer is written, the http.Server drops parts of the caller's body that are still being passed on, so the server gets a body with a hole.

--- a/review/standin-2/backend.go
+++ b/review/standin-2/backend.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -47,6 +49,11 @@
 	// has then removed its registration.
 	leaving   bool
 	withdrawn bool
+	// lostShare is the share of the requests that it runs whose answer is lost: the connection
+	// breaks in its place.
+	lostShare float64
+	// earlyShare is the share of the uploads that it answers before it has read them.
+	earlyShare float64
 	// era is that of the store when the backend last wrote there.
 	era      int
 	sequence int
@@ -142,6 +149,13 @@
 	b.log.add("leaves", b.id, "")
 }
 
+// loseAnswers sets the share of the answers that are lost.
+func (b *backend) loseAnswers(share float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.lostShare = share
+}
+
 // serve answers a request.
 func (b *backend) serve(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(headerID)
@@ -158,10 +172,17 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
-		panic(http.ErrAbortHandler)
+	b.mu.Lock()
+	early := strings.HasPrefix(r.URL.Path, uploadPrefix) && rand.Float64() < b.earlyShare
+	b.mu.Unlock()
+	if early {
+		b.rejectEarly(w, r, id)
+		return
 	}
 	b.log.add("arrives", id, b.id)
+	if !b.readBody(r, id) {
+		panic(http.ErrAbortHandler)
+	}
 	deadline := time.Now().Add(time.Minute)
 	if leftMS, err := strconv.Atoi(r.Header.Get(headerDeadline)); err == nil {
 		deadline = time.Now().Add(time.Duration(leftMS) * time.Millisecond)
@@ -182,6 +203,13 @@
 	case <-b.stopped:
 		panic(http.ErrAbortHandler)
 	}
+	b.mu.Lock()
+	lostShare := b.lostShare
+	b.mu.Unlock()
+	if rand.Float64() < lostShare {
+		b.log.add("loses", id, b.id)
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set(headerStamp, b.id+"."+id)
 	// An error says that the entry has closed the connection.
 	_, _ = io.WriteString(w, "the answer to "+id)
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -19,6 +19,8 @@
 var scenarios = map[string]scenario{
 	"lost-configuration": playLostConfiguration,
 	"lost-leaving":       playLostLeaving,
+	"escaped-path":       playEscapedPath,
+	"early-answer":       playEarlyAnswer,
 }
 
 // Exit codes.
@@ -97,9 +99,32 @@
 	intake = "xano55b"
 )
 
-// begin starts the backends and the entries, and then the traffic, with rates per second.
+// begin starts the backends and the entries with a configuration, and then the traffic, with rates
+// per second.
 func begin(ctx context.Context, d *deployment, callers *clients, reads, bookings float64) error {
-	if _, err := d.operator.write("config", configuration(3, "1200ms", desk)); err != nil {
+	if err := startAll(d, configuration(3, "1200ms", desk)); err != nil {
+		return err
+	}
+	callers.run(ctx, route{
+		name:     "read",
+		method:   "GET",
+		path:     "/gono990/2f",
+		deadline: 2500 * time.Millisecond,
+		perS:     reads,
+	})
+	callers.run(ctx, route{
+		name:     "book",
+		method:   "POST",
+		path:     "/bopu901/2f",
+		deadline: 3 * time.Second,
+		perS:     bookings,
+	})
+	return nil
+}
+
+// startAll starts the backends and the entries with a configuration.
+func startAll(d *deployment, first []byte) error {
+	if _, err := d.operator.write("config", first); err != nil {
 		return err
 	}
 	for range deskBackends {
@@ -117,19 +142,5 @@
 	}
 	// The entries learn of each other.
 	time.Sleep(2 * time.Second)
-	callers.run(ctx, route{
-		name:     "read",
-		method:   "GET",
-		path:     "/gono990/2f",
-		deadline: 2500 * time.Millisecond,
-		perS:     reads,
-	})
-	callers.run(ctx, route{
-		name:     "book",
-		method:   "POST",
-		path:     "/bopu901/2f",
-		deadline: 3 * time.Second,
-		perS:     bookings,
-	})
 	return nil
 }
