Review: bookings with a trailer lose their kept connections while they run

A chunked body with a trailer reserves memory for the largest header until the connection is closed, and makes the connection count as one that waits for its client. From the 44th such connection to an entry on, others are closed while servers run their requests.

--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -28,6 +28,8 @@
 	// the backend that signed it.
 	leaving bool
 	backend string
+	// cut reports whether the entry closed a kept connection without an answer.
+	cut bool
 }
 
 // route describes the requests that a client sends.
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -21,6 +21,7 @@
 	"lost-leaving":       playLostLeaving,
 	"escaped-path":       playEscapedPath,
 	"early-answer":       playEarlyAnswer,
+	"trailers":           playTrailers,
 }
 
 // Exit codes.
