--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -6,10 +6,10 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -69,6 +69,7 @@
 	backends  []*backend
 	operator  operator
 	server    *http.Server
+	group     sync.WaitGroup
 }
 
 // entry is a process of the system on one machine.
@@ -77,7 +78,7 @@
 	ip       string
 	zone     zone
 	settings string
-	command  *exec.Cmd
+	process  *os.Process
 	output   *os.File
 }
 
@@ -120,7 +121,7 @@
 	d.server = &http.Server{
 		Handler: d.store,
 	}
-	go func() { _ = d.server.Serve(listener) }()
+	d.group.Go(func() { _ = d.server.Serve(listener) })
 	return d, nil
 }
 
@@ -129,13 +130,14 @@
 	for _, each := range d.entries {
 		each.signal(syscall.SIGCONT)
 		each.signal(syscall.SIGKILL)
-		_ = each.command.Wait()
+		_, _ = each.process.Wait()
 		_ = each.output.Close()
 	}
 	for _, each := range d.backends {
 		each.stop()
 	}
 	_ = d.server.Close()
+	d.group.Wait()
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(d.directory)
 	} else {
@@ -193,19 +195,17 @@
 }
 
 // start starts the program with the command of the deploy file.
-func (e *entry) start() error {
-	e.command = exec.Command("target/entry", "--platform")
-	e.command.Env = []string{
-		"PATH=" + os.Getenv("PATH"),
-		"HOME=" + os.Getenv("HOME"),
-		"TEASELSTACK_NODE_FILE=" + e.settings,
-	}
-	e.command.Stdout, e.command.Stderr = e.output, e.output
-	return e.command.Start()
+func (e *entry) start() (err error) {
+	command := []string{"target/entry", "--platform"}
+	e.process, err = os.StartProcess(command[0], command, &os.ProcAttr{
+		Env:   []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "TEASELSTACK_NODE_FILE=" + e.settings},
+		Files: []*os.File{nil, e.output, e.output},
+	})
+	return err
 }
 
 // signal sends a signal to the process.
-func (e *entry) signal(signal syscall.Signal) { _ = e.command.Process.Signal(signal) }
+func (e *entry) signal(signal syscall.Signal) { _ = e.process.Signal(signal) }
 
 // ready reports whether the readiness probe succeeds.
 func (e *entry) ready() bool {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -9,6 +9,9 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"sync"
+	"syscall"
 	"time"
 )
 
@@ -57,7 +60,21 @@
 		idle:       make(map[string][]*clientConn),
 		resolved:   make(map[string]resolved),
 	}
-	breaks, err := scenarios[args[0]](d, callers, os.Getenv("TROUBLE") != "0")
+	interrupted, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	var breaks []string
+	ended := make(chan struct{})
+	var group sync.WaitGroup
+	group.Go(func() {
+		defer close(ended)
+		breaks, err = scenarios[args[0]](d, callers, os.Getenv("TROUBLE") != "0")
+	})
+	select {
+	case <-ended:
+	case <-interrupted.Done():
+		fmt.Fprintln(os.Stderr, "interrupted")
+		return exitUnable
+	}
 	if saveErr := log.save(args[1]); err == nil {
 		err = saveErr
 	}
