entry/registry: a position in the store's history holds within one era

Cause: the feed of the operators' table goes on from the version known before. The call under way is lost with the store and ends by its timeout, 1.7 s after the return. By then the store has given out more versions than it lost, so it answers without 410, and rows with a version given out again are skipped.

Evidence: the entries' logs of a run show the call after=49 that ends by its timeout, no history-gone, then store-regained with version 68 or 69; the store lost versions 43 to 49 and gave them out again to the configuration among others. That rules out a comparison of the configurations' own versions (12 came after 7), and a region's reader (no region has four entries).

Change: platform decodes the header Store-Era once, into an Era shared by all clients of a process. A response of an earlier era than the one known is dropped if its call was made before. Calls under way end when any client learns of a new era. The stand-in for the store goes back to copies on command.

Why it works: whatever the versions, a feed continues only where the store states the era that the position is of, and else the table is read whole.

Test: TestChangesAfterReturnFromCopyAreApplied with Eras.observe taken out on a copy ends with configuration 7 instead of 12, without the evacuation, or with a server that was removed, in the cases with 4, 5 and 6 rows written after the return, for all kinds of outage.

--- a/entry/platform_network.go
+++ b/entry/platform_network.go
@@ -70,6 +70,7 @@
 			DisableCompression:     true,
 		},
 	})
+	store.Eras = &n.eras
 	store.OnCall = func(call, outcome string) {
 		metrics.GetOrRegisterCounter("store-calls."+path.Base(call)+"."+outcome, n.metrics).Inc(1)
 	}
--- a/entry/platform_node.go
+++ b/entry/platform_node.go
@@ -42,6 +42,8 @@
 	pool *upstream.Pool
 	// registry follows the routes and registrations in the platform's store.
 	registry *registry.Registry
+	// eras holds the era of the platform's store.
+	eras platform.Eras
 	// readerClient asks the entry that reads the store for this one.
 	readerClient *http.Client
 	// tracker exchanges state with the other entries.
@@ -124,6 +126,8 @@
 	}
 	n.ending, n.giveUp = context.WithCancel(context.Background())
 	n.readerClient = newReaderClient()
+	n.eras.OnChange = n.logEra
+	n.eras.OnUnreadable = n.logUnreadableEra
 	n.settings.Store(&settings)
 	n.suspects.FailureLimit = quarantineFailureLimit
 	n.suspects.OnFailure = n.handleFailure
@@ -244,6 +248,16 @@
 		Bool("limited", statement.Limited).Float64("per-second", statement.RequestLimit).Bool("from-peer", fromPeer).Msg("")
 }
 
+// logEra logs that the platform's store has come back from a copy.
+func (n *platformNode) logEra(from, to platform.Era) {
+	n.logger.Warn().Str("event", "store-era").Stringer("from", from).Stringer("to", to).Msg("")
+}
+
+// logUnreadableEra logs that a response of the store states no valid era.
+func (n *platformNode) logUnreadableEra(value string) {
+	n.logger.Warn().Str("event", "era-unreadable").Str("value", value).Msg("")
+}
+
 // servingEntries returns the entries that look-ups may name to callers.
 func (n *platformNode) servingEntries() []placement.Entry {
 	serving := n.tracker.ServingEntries()
--- a/entry/reader.go
+++ b/entry/reader.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net"
@@ -18,10 +19,11 @@
 
 const (
 	// changesPath is the URL path at which an entry serves the changes of a table of the
-	// platform's store. The parameters are the table, the version after which changes are
-	// wanted, and how long to wait for them.
+	// platform's store. The parameters are the table, the era and version after which changes
+	// are wanted, and how long to wait for them.
 	changesPath  = "/changes"
 	tableParam   = "table"
+	eraParam     = "era"
 	versionParam = "after"
 	waitParam    = "wait"
 	// minRelayEntries is the number of serving entries of a region from which on one of them
@@ -90,10 +92,11 @@
 
 // changesFrom returns a registry.Reader that asks the entry at an address.
 func (n *platformNode) changesFrom(address string) registry.Reader {
-	return func(ctx context.Context, table string, after uint64, wait time.Duration) (changes registry.Changes, err error) {
+	return func(ctx context.Context, table string, after platform.Position, wait time.Duration) (changes registry.Changes, err error) {
 		query := url.Values{}
 		query.Set(tableParam, table)
-		query.Set(versionParam, strconv.FormatUint(after, 10))
+		query.Set(eraParam, strconv.FormatUint(uint64(after.Era), 10))
+		query.Set(versionParam, strconv.FormatUint(after.Version, 10))
 		query.Set(waitParam, wait.String())
 		err = fetchFromEntry(ctx, n.readerClient, "http://"+address+changesPath+"?"+query.Encode(), &changes)
 		return changes, err
@@ -103,12 +106,18 @@
 // serveChanges sends the changes of a table of the store to another entry.
 func (n *platformNode) serveChanges(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
-	after, err := strconv.ParseUint(query.Get(versionParam), 10, 64)
+	version, err := strconv.ParseUint(query.Get(versionParam), 10, 64)
+	// A call without an era is of an entry that does not know eras.
+	era, eraErr := strconv.ParseUint(cmp.Or(query.Get(eraParam), "0"), 10, 64)
 	wait, waitErr := time.ParseDuration(query.Get(waitParam))
-	if err != nil || waitErr != nil || wait < 0 || wait > maxChangesWait || n.shuttingDown.Load() {
+	if err != nil || eraErr != nil || waitErr != nil || wait < 0 || wait > maxChangesWait || n.shuttingDown.Load() {
 		http.Error(w, "bad call for changes, or shutting down", http.StatusServiceUnavailable)
 		return
 	}
+	after := platform.Position{
+		Era:     platform.Era(era),
+		Version: version,
+	}
 	changes, err := n.registry.Changes(r.Context(), query.Get(tableParam), after, wait)
 	switch {
 	case errors.Is(err, platform.ErrHistoryGone):
--- a/entry/reader_test.go
+++ b/entry/reader_test.go
@@ -69,10 +69,13 @@
 	ask := func() (registry.Changes, error) {
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 		defer cancel()
-		return n.changesFrom(strings.TrimPrefix(server.URL, "http://"))(ctx, platform.ServerTable, 7, time.Second)
+		return n.changesFrom(strings.TrimPrefix(server.URL, "http://"))(ctx, platform.ServerTable, platform.Position{
+			Era:     3,
+			Version: 7,
+		}, time.Second)
 	}
 	respond = func(w http.ResponseWriter, r *http.Request) {
-		assert.Check(t, strings.HasSuffix(r.URL.String(), "/changes?after=7&table=servers&wait=1s"), r.URL.String())
+		assert.Check(t, strings.HasSuffix(r.URL.String(), "/changes?after=7&era=3&table=servers&wait=1s"), r.URL.String())
 		_, _ = w.Write([]byte(`{"rows":[{"table":"servers","key":"a","value":"eA==","ver":9}],"version":9,"held":5000000,"age":1000000}`))
 	}
 	changes, err := ask()
--- /dev/null
+++ b/entry/registry/era_test.go
@@ -0,0 +1,147 @@
+package registry_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/teaselstack/teaselstack/entry/registry"
+	"github.com/teaselstack/teaselstack/platform"
+	"github.com/teaselstack/teaselstack/standin/store"
+)
+
+// outageOfDrill is how the store is away before it comes back from a copy.
+type outageOfDrill struct {
+	name   string
+	outage store.Outage
+	away   time.Duration
+	// silent reports whether calls that wait for changes are never answered.
+	silent bool
+}
+
+var outagesOfDrills = []outageOfDrill{
+	{
+		name:   "silent",
+		outage: store.OutageDrop,
+		away:   600 * time.Millisecond,
+		silent: true,
+	},
+	{
+		name:   "refusing",
+		outage: store.OutageRefuse,
+		away:   600 * time.Millisecond,
+	},
+	{
+		name: "resetting",
+	},
+	{
+		name:   "lost calls only",
+		silent: true,
+	},
+}
+
+// drill lets the store be away and come back from a copy.
+func (r *recordingRegistry) drill(kind outageOfDrill, from store.Copy) {
+	r.store.SetFault(store.Fault{
+		Outage: kind.outage,
+	})
+	time.Sleep(kind.away)
+	r.store.RestoreCopy(from, kind.silent)
+	r.store.SetFault(store.Fault{})
+}
+
+// TestChangesAfterReturnFromCopyAreApplied guards against a configuration and other rows that no
+// entry ever applies, because their versions were given out before the store came back from a
+// copy, in its era before. The number of rows written after the return puts the version of the
+// configuration below the known one, at it and above it.
+func TestChangesAfterReturnFromCopyAreApplied(t *testing.T) {
+	const lostRows = 6
+	for _, kind := range outagesOfDrills {
+		for _, drills := range []int{1, 2} {
+			for _, written := range []int{0, lostRows - 2, lostRows - 1, lostRows, 3 * lostRows} {
+				t.Run(fmt.Sprintf("%s, %d drills, %d rows", kind.name, drills, written), func(t *testing.T) {
+					testRegistry(t, func(t *testing.T, r *recordingRegistry) {
+						r.runWithTwoServers()
+						for drill := range drills {
+							copied := r.store.TakeCopy()
+							for i := range lostRows {
+								r.putServer(fmt.Sprintf("lost-%d", i), "ready", 1)
+							}
+							r.putConfiguration(7 + 20*drill)
+							time.Sleep(3 * time.Second)
+							assert.Equal(t, r.configurationVersion(), uint64(7+20*drill))
+							r.drill(kind, copied)
+							for i := range written {
+								r.putServer(fmt.Sprintf("lost-%d", i%lostRows), "ready", 2+i)
+							}
+							r.store.RemoveRow(platform.ServerTable, "b")
+							r.store.PutRow(platform.OperatorTable, "evacuate/north-a", []byte("{}"))
+							r.putConfiguration(12 + 20*drill)
+							// Calls that were lost end by their timeout.
+							time.Sleep(r.MaxLag() + callBound)
+							synctest.Wait()
+							assert.Equal(t, r.configurationVersion(), uint64(12+20*drill))
+							assert.DeepEqual(t, r.evacuated(), []string{"north-a"})
+							// Missing registrations are doubtful for a while.
+							time.Sleep(3 * time.Second)
+							registered, _, _ := r.serverState("b")
+							assert.Assert(t, !registered)
+							for i := range lostRows {
+								registered, _, _ := r.serverState(fmt.Sprintf("lost-%d", i))
+								assert.Equal(t, registered, i < written, "server %d", i)
+							}
+							r.putServer("b", "ready", 1)
+							r.store.RemoveRow(platform.OperatorTable, "evacuate/north-a")
+							time.Sleep(3 * time.Second)
+						}
+					})
+				})
+			}
+		}
+	}
+}
+
+// TestSnapshotOfAnEarlierEraIsReplaced guards against registrations that an entry takes from
+// another one while the store is away, and that keep those of the store away, because their
+// versions are of an earlier era and higher.
+func TestSnapshotOfAnEarlierEraIsReplaced(t *testing.T) {
+	testRegistry(t, func(t *testing.T, r *recordingRegistry) {
+		copied := r.store.TakeCopy()
+		r.putServer("b", "ready", 1)
+		for sequence := range 20 {
+			r.putServer("a", "ready", 1+sequence)
+		}
+		r.putConfiguration(4)
+		r.run()
+		time.Sleep(100 * time.Millisecond)
+		starting := newRecordingRegistry(r.store)
+		defer starting.stop()
+		starting.SnapshotSources = func() []func(context.Context) (registry.Snapshot, error) {
+			return []func(context.Context) (registry.Snapshot, error){
+				func(context.Context) (registry.Snapshot, error) {
+					snapshot, _ := r.Snapshot()
+					return snapshot, nil
+				},
+			}
+		}
+		r.store.SetFault(store.Fault{
+			Outage: store.OutageRefuse,
+		})
+		starting.run()
+		time.Sleep(1500 * time.Millisecond)
+		assert.Assert(t, starting.Loaded())
+		r.store.RestoreCopy(copied, true)
+		r.putConfiguration(4)
+		r.putServer("a", "draining", 21)
+		r.store.SetFault(store.Fault{})
+		time.Sleep(5 * time.Second)
+		_, draining, _ := starting.serverState("a")
+		assert.Assert(t, draining)
+		registered, _, _ := starting.serverState("b")
+		assert.Assert(t, !registered)
+	})
+}
--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -68,6 +68,9 @@
 
 	configuration atomic.Pointer[routing.Configuration]
 	serversLoaded atomic.Bool
+	// applying is held while rows are applied, so that a snapshot replaces nothing that was read
+	// from the store meanwhile.
+	applying sync.Mutex
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -75,11 +78,15 @@
 	evacuated map[string]bool
 	// rowVersions holds, by server ID, the newest known version of each row in the server
 	// table, so that an older version doesn't replace it. The versions of removed rows are
-	// not kept.
+	// not kept. They are those of serverEra.
 	rowVersions map[string]uint64
+	// serverEra is the era of the store of which the server rows were read.
+	serverEra platform.Era
 	// operatorRows and serverRows hold the undecoded rows by key, for Snapshot.
 	operatorRows map[string]platform.StoreRow
 	serverRows   map[string]platform.StoreRow
+	// operatorEra is the era of the store of which the operator rows were read.
+	operatorEra platform.Era
 	// lastSuccess holds the time of the last successful call for each table.
 	lastSuccess map[string]time.Time
 	// missing holds the IDs of the servers whose registrations went missing within
@@ -147,7 +154,7 @@
 	pauses bool
 	// replace is called with all rows of the table after a full read, and apply with
 	// the changed and removed rows after a long poll.
-	replace func([]platform.StoreRow)
+	replace func(platform.StoreRows)
 	apply   func([]platform.StoreRow)
 }
 
@@ -179,17 +186,17 @@
 // watch reads a table in full and then its changes, until ctx is done. It retries
 // failed calls with a jittered back-off.
 func (r *Registry) watch(ctx context.Context, watched tableWatch) {
-	version := uint64(0)
+	var position platform.Position
 	loaded, failing := false, false
 	delay := time.Duration(0)
 	for ctx.Err() == nil {
 		var err error
 		relayed := false
 		if loaded {
-			version, relayed = r.pollReader(ctx, watched, version)
+			position, relayed = r.pollReader(ctx, watched, position)
 		}
 		if !relayed {
-			version, loaded, err = r.poll(ctx, watched, version, loaded, failing)
+			position, loaded, err = r.poll(ctx, watched, position, loaded, failing)
 		}
 		if err != nil && ctx.Err() == nil {
 			if !failing {
@@ -201,12 +208,13 @@
 			continue
 		}
 		if err == nil && !loaded {
-			// The history is gone: nothing is known until the full read that follows.
+			// The history is gone, or that of another era: nothing is known until the full
+			// read that follows.
 			continue
 		}
 		if failing {
 			failing = false
-			r.Logger.Info().Str("event", "store-regained").Str("table", watched.table).Uint64("version", version).Msg("")
+			r.Logger.Info().Str("event", "store-regained").Str("table", watched.table).Uint64("version", position.Version).Msg("")
 		}
 		r.recordSuccess(watched.table)
 		if watched.table == platform.ServerTable {
@@ -233,11 +241,12 @@
 }
 
 // poll does one full read of a table if it is not loaded, else one long poll for the
-// changes after version. It returns the new version and whether the table is loaded. After a
+// changes after position. It returns the new position and whether the table is loaded. After a
 // failed call, the store is not asked to hold the next one, which may be lost in the same
-// outage, so that its timeout is shorter. If the store no longer has the changes since version,
-// the table counts as not loaded, so that the next call is a full read.
-func (r *Registry) poll(ctx context.Context, watched tableWatch, version uint64, loaded, failing bool) (uint64, bool, error) {
+// outage, so that its timeout is shorter. If the store no longer has the changes since position,
+// or has come back from a copy, the table counts as not loaded, so that the next call is a full
+// read. The end of the era ends the call, which may have been lost with the store.
+func (r *Registry) poll(ctx context.Context, watched tableWatch, position platform.Position, loaded, failing bool) (platform.Position, bool, error) {
 	longPoll := r.longPoll()
 	if failing {
 		longPoll = 0
@@ -248,15 +257,29 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	era, eraEnded := watched.store.Eras.Current()
+	defer context.AfterFunc(eraEnded, cancel)()
+	if loaded && position.Era != 0 && position.Era != era {
+		r.logEraChanged(watched.table, position, platform.ErrEraChanged)
+		return position, false, nil
+	}
 	if !loaded {
 		contents, err := watched.store.ReadTable(ctx, watched.table)
-		if err != nil {
+		switch {
+		case err == nil:
+		case eraEnded.Err() != nil:
+			r.logEraChanged(watched.table, position, err)
+			return position, false, nil
+		default:
 			r.recordFailure(watched.table)
-			return version, false, err
+			return position, false, err
 		}
-		watched.replace(contents.Rows)
-		r.logReplaced(watched.table, contents.Version)
-		return contents.Version, true, nil
+		r.applying.Lock()
+		watched.replace(contents)
+		r.applying.Unlock()
+		r.logReplaced(watched.table, contents.Position())
+		r.Logger.Info().Str("event", "table-read").Str("table", watched.table).Stringer("era", contents.Era).Uint64("version", contents.Version).Int("rows", len(contents.Rows)).Msg("")
+		return contents.Position(), true, nil
 	}
 	wait := longPoll
 	if watched.table == platform.ServerTable {
@@ -269,18 +292,29 @@
 		}
 		wait = min(wait, time.Duration(share*float64(r.ServerPollPause())))
 	}
-	changes, err := watched.store.ReadChanges(ctx, watched.table, version, wait)
-	if errors.Is(err, platform.ErrHistoryGone) {
-		r.Logger.Info().Str("event", "history-gone").Str("table", watched.table).Uint64("version", version).Msg("")
-		return version, false, nil
-	}
-	if err != nil {
+	changes, err := watched.store.ReadChanges(ctx, watched.table, position, wait)
+	switch {
+	case err == nil:
+	case errors.Is(err, platform.ErrHistoryGone):
+		r.Logger.Info().Str("event", "history-gone").Str("table", watched.table).Uint64("version", position.Version).Msg("")
+		return position, false, nil
+	case eraEnded.Err() != nil || errors.Is(err, platform.ErrEraChanged):
+		r.logEraChanged(watched.table, position, err)
+		return position, false, nil
+	default:
 		r.recordFailure(watched.table)
-		return version, loaded, err
+		return position, loaded, err
 	}
 	watched.apply(changes.Rows)
-	r.logChanged(watched.table, changes.Rows, changes.Version, time.Now())
-	return max(version, changes.Version), true, nil
+	position.Version = max(position.Version, changes.Version)
+	r.logChanged(watched.table, changes.Rows, position.Version, time.Now())
+	return position, true, nil
+}
+
+// logEraChanged logs that the known position in a table's history is of another era than the
+// store.
+func (r *Registry) logEraChanged(table string, position platform.Position, err error) {
+	r.Logger.Info().Str("event", "table-era-ended").Str("table", table).Stringer("era", position.Era).Uint64("version", position.Version).Err(err).Msg("")
 }
 
 // fullReadTimeout returns the timeout of a full read of a table, which may have several pages.
--- a/entry/registry/registry_test.go
+++ b/entry/registry/registry_test.go
@@ -80,12 +80,15 @@
 		store:   server,
 		servers: make(map[string]routing.Server),
 	}
+	eras := &platform.Eras{}
 	client := func() *platform.Client {
-		return platform.NewClient("http://store", &http.Client{
+		client := platform.NewClient("http://store", &http.Client{
 			Transport: handlerTransport{
 				handler: server,
 			},
 		})
+		client.Eras = eras
+		return client
 	}
 	r.Registry = &registry.Registry{
 		OperatorStore: client(),
--- a/entry/registry/relay.go
+++ b/entry/registry/relay.go
@@ -14,7 +14,7 @@
 // instead of asking the store.
 type Changes struct {
 	Rows []platform.StoreRow `json:"rows,omitempty"`
-	// Version is the version from which the next call continues.
+	// Version is the version from which the next call continues, in the era of the call.
 	Version uint64 `json:"version"`
 	// Held is how long the answering entry held the call, and Age how long ago the store
 	// confirmed to it that it knows all changes.
@@ -25,9 +25,9 @@
 	FailureAge time.Duration `json:"failure-age,omitempty"`
 }
 
-// Reader asks another entry for the changes of a table after a version. The other entry holds
+// Reader asks another entry for the changes of a table after a position. The other entry holds
 // the call for up to the given time until there are any.
-type Reader func(ctx context.Context, table string, after uint64, wait time.Duration) (Changes, error)
+type Reader func(ctx context.Context, table string, after platform.Position, wait time.Duration) (Changes, error)
 
 // errNotCurrent is the answer of an entry whose last call for a table failed, or that hasn't
 // read it.
@@ -58,7 +58,8 @@
 // tableLog holds the recent changes of a table, for other entries.
 type tableLog struct {
 	// rows holds the changes after version base, oldest first, and version is that of the
-	// newest state known.
+	// newest state known. All are of the same era.
+	era     platform.Era
 	rows    []platform.StoreRow
 	base    uint64
 	version uint64
@@ -86,11 +87,14 @@
 }
 
 // logReplaced records a full read of a table in its log.
-func (r *Registry) logReplaced(table string, version uint64) {
+func (r *Registry) logReplaced(table string, position platform.Position) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	log := r.logFor(table)
-	log.rows, log.base, log.version = nil, version, max(log.version, version)
+	if log.era != position.Era {
+		log.era, log.version = position.Era, 0
+	}
+	log.rows, log.base, log.version = nil, position.Version, max(log.version, position.Version)
 	log.confirm(time.Now())
 }
 
@@ -133,10 +137,11 @@
 	l.updated = make(chan struct{})
 }
 
-// Changes answers another entry that asks for the changes of a table after a version. It
+// Changes answers another entry that asks for the changes of a table after a position. It
 // waits until there are any, until the store confirms that there are none, or until wait has
-// passed. If this entry no longer has the changes, the error is platform.ErrHistoryGone.
-func (r *Registry) Changes(ctx context.Context, table string, after uint64, wait time.Duration) (Changes, error) {
+// passed. If this entry no longer has the changes, or follows another era of the store, the
+// error is platform.ErrHistoryGone.
+func (r *Registry) Changes(ctx context.Context, table string, after platform.Position, wait time.Duration) (Changes, error) {
 	started := time.Now()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -157,24 +162,24 @@
 	}
 }
 
-// changesNow returns the known changes of a table after a version, when the store confirmed
+// changesNow returns the known changes of a table after a position, when the store confirmed
 // them, and a channel that is closed when a call for the table has ended.
-func (r *Registry) changesNow(table string, after uint64) (Changes, time.Time, <-chan struct{}, error) {
+func (r *Registry) changesNow(table string, after platform.Position) (Changes, time.Time, <-chan struct{}, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	log := r.logs[table]
 	switch {
 	case log == nil || !log.current:
 		return Changes{}, time.Time{}, nil, errNotCurrent
-	case after < log.base:
+	case after.Era != log.era || after.Version < log.base:
 		return Changes{}, time.Time{}, nil, platform.ErrHistoryGone
 	}
 	changes := Changes{
-		Version: max(after, log.version),
+		Version: max(after.Version, log.version),
 		Age:     time.Since(log.confirmedAt),
 	}
 	for _, row := range log.rows {
-		if row.Version > after {
+		if row.Version > after.Version {
 			changes.Rows = append(changes.Rows, row)
 		}
 	}
@@ -184,30 +189,35 @@
 	return changes, log.confirmedAt, log.updated, nil
 }
 
-// pollReader asks the entry's reader for the changes of a table after a version, and returns
-// the new version. read is false if there is no reader, if the last confirmation of the store
+// pollReader asks the entry's reader for the changes of a table after a position, and returns
+// the new position. read is false if there is no reader, if the last confirmation of the store
 // is too old to wait for the reader, if the reader no longer has the changes, or if it did not
 // answer in time with a newer state. The caller then asks the store.
-func (r *Registry) pollReader(ctx context.Context, watched tableWatch, version uint64) (newVersion uint64, read bool) {
+func (r *Registry) pollReader(ctx context.Context, watched tableWatch, position platform.Position) (newPosition platform.Position, read bool) {
 	reader := r.currentReader()
 	pause := float64(r.ServerPollPause())
 	wait := time.Until(r.confirmedAt(watched.table).Add(time.Duration(maxConfirmationAge * pause)))
 	if reader == nil || wait < time.Duration(minReaderWait*pause) {
-		return version, false
+		return position, false
+	}
+	era, eraEnded := watched.store.Eras.Current()
+	if position.Era != era {
+		return position, false
 	}
 	readerCtx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
+	defer context.AfterFunc(eraEnded, cancel)()
 	if watched.table == platform.ServerTable {
 		wait = min(wait, r.maxServerLongPoll())
 	}
 	sentAt := time.Now()
-	changes, err := reader(readerCtx, watched.table, version, wait)
+	changes, err := reader(readerCtx, watched.table, position, wait)
 	switch confirmedAt := sentAt.Add(changes.Held - changes.Age); {
 	case ctx.Err() != nil:
-		return version, true
-	case errors.Is(err, platform.ErrHistoryGone):
-		// The store itself may still have the changes.
-		return version, false
+		return position, true
+	case errors.Is(err, platform.ErrHistoryGone) || eraEnded.Err() != nil:
+		// The store itself may still have the changes, or says that its era has changed.
+		return position, false
 	case err == nil && float64(time.Since(confirmedAt)) > maxConfirmationAge*pause:
 		err = errors.Errorf("the reader's state was confirmed %s ago", time.Since(confirmedAt))
 	case err == nil:
@@ -215,15 +225,15 @@
 			r.recordReaderFailure(time.Now().Add(-changes.FailureAge))
 		}
 		watched.apply(changes.Rows)
-		newVersion = max(version, changes.Version)
-		r.logChanged(watched.table, changes.Rows, newVersion, confirmedAt)
-		return newVersion, true
+		position.Version = max(position.Version, changes.Version)
+		r.logChanged(watched.table, changes.Rows, position.Version, confirmedAt)
+		return position, true
 	}
 	r.mu.Lock()
 	r.readerRetryAt = time.Now().Add(readerRetryTime)
 	r.mu.Unlock()
-	r.Logger.Warn().Str("event", "reader-failed").Str("table", watched.table).Uint64("version", version).Err(err).Msg("")
-	return version, false
+	r.Logger.Warn().Str("event", "reader-failed").Str("table", watched.table).Uint64("version", position.Version).Err(err).Msg("")
+	return position, false
 }
 
 // confirmedAt returns when the store last confirmed that this entry knows all changes of a
--- a/entry/registry/relay_test.go
+++ b/entry/registry/relay_test.go
@@ -82,6 +82,8 @@
 	// the follower to the reader.
 	readerStore, followerStore, toReader path
 	versions                             int
+	// copied is the store's state before the last call of change.
+	copied store.Copy
 }
 
 // pollPause is the ServerPollPause of the registries, and callBound bounds one call of the
@@ -128,7 +130,7 @@
 }
 
 // askReader asks the reader over the path to it.
-func (r *relayTest) askReader(ctx context.Context, table string, after uint64, wait time.Duration) (registry.Changes, error) {
+func (r *relayTest) askReader(ctx context.Context, table string, after platform.Position, wait time.Duration) (registry.Changes, error) {
 	if err := r.toReader.pass(ctx); err != nil {
 		return registry.Changes{}, err
 	}
@@ -148,7 +150,23 @@
 // change makes a change of each kind: another configuration, an evacuation or its end, a
 // server that drains, one that is removed and one that is added.
 func (r *relayTest) change() {
+	r.copied = r.reader.store.TakeCopy()
 	r.versions++
+	r.write()
+}
+
+// drill lets the store come back from the copy before the last change, which is written again,
+// behind other rows.
+func (r *relayTest) drill(silent bool, others int) {
+	r.reader.store.RestoreCopy(r.copied, silent)
+	for i := range others {
+		r.reader.putServer("other", "ready", i)
+	}
+	r.write()
+}
+
+// write writes the rows of the last change.
+func (r *relayTest) write() {
 	r.reader.putConfiguration(10 * r.versions)
 	if r.versions%2 == 1 {
 		r.reader.store.PutRow(platform.OperatorTable, "evacuate/north-a", []byte("{}"))
@@ -325,12 +343,13 @@
 	})
 }
 
-// TestRelayPromises changes rows while the paths fail and recover at random. Whenever the follower
+// TestRelayPromises changes rows while the paths fail and recover at random, and the store comes
+// back from copies. Whenever the follower
 // has reached the store without a failure for the bound, it knows the last change, and its
 // configuration never goes back.
 func TestRelayPromises(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		steps := rapid.SliceOfN(rapid.IntRange(0, 11), 1, 40).Draw(rt, "steps")
+		steps := rapid.SliceOfN(rapid.IntRange(0, 15), 1, 40).Draw(rt, "steps")
 		pauses := rapid.SliceOfN(rapid.IntRange(1, 2500), 40, 40).Draw(rt, "pauses")
 		var failure error
 		synctest.Test(t, func(*testing.T) {
@@ -358,9 +377,12 @@
 			r.readerStore.set(pathState(step - 3))
 		case step < 9:
 			r.toReader.set(pathState(step - 6))
-		default:
+		case step < 12:
 			r.followerStore.set(pathState(step - 9))
 			reachableSince = time.Now()
+		default:
+			r.drill(step%2 == 0, 10*(step-12))
+			changedAt, reachableSince = time.Now(), time.Now()
 		}
 		end := time.Now().Add(time.Duration(pauses[i]) * time.Millisecond)
 		for time.Now().Before(end) {
--- a/entry/registry/snapshot.go
+++ b/entry/registry/snapshot.go
@@ -25,15 +25,17 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return Snapshot{
-		Operators: sortedRows(r.operatorRows),
-		Servers:   sortedRows(r.serverRows),
+		Operators: sortedRows(r.operatorRows, r.operatorEra),
+		Servers:   sortedRows(r.serverRows, r.serverEra),
 	}, true
 }
 
-// sortedRows returns rows in the order of their keys, with the highest of their versions
-// as the version of the result.
-func sortedRows(rows map[string]platform.StoreRow) platform.StoreRows {
-	sorted := platform.StoreRows{}
+// sortedRows returns rows in the order of their keys, with their era and the highest of their
+// versions as those of the result.
+func sortedRows(rows map[string]platform.StoreRow, era platform.Era) platform.StoreRows {
+	sorted := platform.StoreRows{
+		Era: era,
+	}
 	for _, key := range slices.Sorted(maps.Keys(rows)) {
 		sorted.Rows = append(sorted.Rows, rows[key])
 		sorted.Version = max(sorted.Version, rows[key].Version)
@@ -83,16 +85,20 @@
 )
 
 // applySnapshot applies the rows of another entry, except those of a table that has
-// been loaded from the store meanwhile. The first successful call to the store for each
+// been loaded from the store meanwhile. An answer of the store that is of an earlier era than
+// the rows is late. The first successful call to the store for each
 // table remains a full read, since the store may no longer have all changes since the
 // snapshot.
 func (r *Registry) applySnapshot(snapshot Snapshot) {
+	r.applying.Lock()
+	defer r.applying.Unlock()
+	r.OperatorStore.Eras.Learn(snapshot.Operators.Era)
+	r.ServerStore.Eras.Learn(snapshot.Servers.Era)
 	if r.configuration.Load() == nil {
-		r.applyOperatorRows(snapshot.Operators.Rows)
+		r.replaceOperatorRows(snapshot.Operators)
 	}
 	if !r.serversLoaded.Load() {
-		r.applyServerRows(snapshot.Servers.Rows)
-		r.serversLoaded.Store(true)
+		r.replaceServerRows(snapshot.Servers)
 	}
 	r.Logger.Info().Str("event", "introduced").Int("servers", len(snapshot.Servers.Rows)).Uint64("row-version", snapshot.Operators.Version).Msg("")
 }
--- a/entry/registry/tables.go
+++ b/entry/registry/tables.go
@@ -12,10 +12,12 @@
 // replaceOperatorRows replaces all operator rows with those of a full read. Without a
 // configuration row among them, the current configuration stays in force. r.mu is unlocked
 // in between, so a concurrent Snapshot may contain no operator rows.
-func (r *Registry) replaceOperatorRows(rows []platform.StoreRow) {
+func (r *Registry) replaceOperatorRows(contents platform.StoreRows) {
+	rows := contents.Rows
 	r.mu.Lock()
 	r.evacuated = nil
 	r.operatorRows = nil
+	r.operatorEra = contents.Era
 	r.mu.Unlock()
 	r.applyOperatorRows(rows)
 	if len(rows) == 0 {
@@ -79,13 +81,20 @@
 }
 
 // replaceServerRows applies a full read of the server table. Known rows that it lacks
-// count as removed.
-func (r *Registry) replaceServerRows(rows []platform.StoreRow) {
+// count as removed. In another era than before, the known versions mean nothing.
+func (r *Registry) replaceServerRows(contents platform.StoreRows) {
+	rows := contents.Rows
 	present := make(map[string]bool, len(rows))
 	for _, row := range rows {
 		present[row.Key] = true
 	}
 	r.mu.Lock()
+	if contents.Era != r.serverEra {
+		r.serverEra = contents.Era
+		for serverID := range r.rowVersions {
+			r.rowVersions[serverID] = 0
+		}
+	}
 	for serverID := range r.rowVersions {
 		if !present[serverID] {
 			rows = append(rows, platform.StoreRow{
--- a/standin/store/rows.go
+++ b/standin/store/rows.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -22,6 +23,8 @@
 	// versions. Earlier changes are no longer available.
 	history          []platform.StoreRow
 	compactedVersion uint64
+	// returns counts the returns from a copy.
+	returns platform.Era
 	// changed is closed at the next change. It is nil if changesSince has not been
 	// called since the last change.
 	changed chan struct{}
@@ -49,19 +52,24 @@
 // commit applies all changes in one transaction if every expected row has the
 // expected version, which is 0 for a row that must not exist. It returns the version
 // of the store. On a conflict it changes nothing and returns the expected rows that
-// exist, as they are stored, in conflicts. The slice is nil only if there was no
-// conflict.
-func (r *rowStore) commit(expected, upserts, removed []platform.StoreRow) (version uint64, conflicts []platform.StoreRow) {
+// exist, as they are stored. The slice of rows is nil only if there was no conflict.
+func (r *rowStore) commit(expected, upserts, removed []platform.StoreRow) platform.StoreRows {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, row := range expected {
 		if actual := r.rows[rowIDOf(row)]; actual.Version != row.Version {
-			conflicts = r.existingRows(expected)
-			return r.version, conflicts
+			return platform.StoreRows{
+				Rows:    r.existingRows(expected),
+				Version: r.version,
+				Era:     r.era(),
+			}
 		}
 	}
 	if len(upserts)+len(removed) == 0 {
-		return r.version, nil
+		return platform.StoreRows{
+			Version: r.version,
+			Era:     r.era(),
+		}
 	}
 	if r.rows == nil {
 		r.rows = make(map[rowID]platform.StoreRow)
@@ -82,7 +90,10 @@
 		close(r.changed)
 		r.changed = nil
 	}
-	return r.version, nil
+	return platform.StoreRows{
+		Version: r.version,
+		Era:     r.era(),
+	}
 }
 
 // existingRows returns the wanted rows that exist, as they are stored, and never nil.
@@ -106,6 +117,7 @@
 	page := platform.StoreRows{
 		Rows:    []platform.StoreRow{},
 		Version: r.version,
+		Era:     r.era(),
 	}
 	for _, row := range r.rows {
 		if row.Table == table && row.Partition == partition && row.Key >= from && (until == "" || row.Key < until) {
@@ -143,13 +155,14 @@
 
 // changesSince returns a table's changes after a version, whether the history still
 // reaches back to that version, and a channel that is closed at the next change of
-// any table.
+// any table. The history has no version above the newest one.
 func (r *rowStore) changesSince(table string, after uint64) (page platform.StoreRows, available bool, changed <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	page = platform.StoreRows{
 		Rows:    []platform.StoreRow{},
 		Version: r.version,
+		Era:     r.era(),
 	}
 	start, _ := slices.BinarySearchFunc(r.history, after+1, func(row platform.StoreRow, version uint64) int {
 		return cmp.Compare(row.Version, version)
@@ -162,7 +175,7 @@
 	if r.changed == nil {
 		r.changed = make(chan struct{})
 	}
-	return page, after >= r.compactedVersion, r.changed
+	return page, after >= r.compactedVersion && after <= r.version, r.changed
 }
 
 // compact discards the history of changes.
@@ -172,3 +185,50 @@
 	r.compactedVersion = r.version
 	r.history = nil
 }
+
+// Copy is a copy of all rows with their version and history.
+type Copy struct {
+	version          uint64
+	rows             map[rowID]platform.StoreRow
+	history          []platform.StoreRow
+	compactedVersion uint64
+}
+
+// takeCopy returns a copy.
+func (r *rowStore) takeCopy() Copy {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return Copy{
+		version:          r.version,
+		rows:             maps.Clone(r.rows),
+		history:          slices.Clone(r.history),
+		compactedVersion: r.compactedVersion,
+	}
+}
+
+// restore returns to the state of a copy in a new era, and wakes the calls that wait for
+// changes.
+func (r *rowStore) restore(from Copy) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version, r.compactedVersion = from.version, from.compactedVersion
+	r.rows, r.history = maps.Clone(from.rows), slices.Clone(from.history)
+	r.returns++
+	if r.changed != nil {
+		close(r.changed)
+		r.changed = nil
+	}
+}
+
+// firstEra is the era until the first return from a copy, which the store states as 0.
+const firstEra platform.Era = 1
+
+// era returns the era of the store. The caller must hold r.mu.
+func (r *rowStore) era() platform.Era { return firstEra + r.returns }
+
+// currentEra returns the era of the store.
+func (r *rowStore) currentEra() platform.Era {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.era()
+}
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/teaselstack/teaselstack/platform"
@@ -25,6 +26,11 @@
 type Server struct {
 	rows   rowStore
 	faults *faultState
+	// eraHeader replaces the value of the header with the era, see SetEraHeader.
+	eraHeader atomic.Pointer[string]
+	// silentReturn reports whether calls that were lost in the last return from a copy get no
+	// reset.
+	silentReturn atomic.Bool
 
 	mu sync.Mutex
 	// objects holds the content of each object by its ID.
@@ -57,6 +63,7 @@
 		return
 	}
 	r.Body = io.NopCloser(bytes.NewReader(content))
+	s.setEra(w, s.rows.currentEra())
 	status, err := s.faults.admit(r.Context(), clientIP(r), write)
 	switch {
 	case err != nil:
@@ -68,6 +75,7 @@
 		s.performLostWrite(r)
 		panic(http.ErrAbortHandler)
 	}
+	s.setEra(w, s.rows.currentEra())
 	s.serve(w, r)
 }
 
@@ -102,17 +110,51 @@
 // Compact discards the history of changes, as the platform may at any time.
 func (s *Server) Compact() { s.rows.compact() }
 
+// TakeCopy returns a copy of all rows, for RestoreCopy.
+func (s *Server) TakeCopy() Copy { return s.rows.takeCopy() }
+
+// RestoreCopy makes the store return from a copy, as the platform may in a drill: what was
+// written since is lost, its versions are given out again, and the era rises by one. Calls that
+// wait for changes get no response: if silent is true never, else by a reset of their
+// connections.
+func (s *Server) RestoreCopy(from Copy, silent bool) {
+	s.silentReturn.Store(silent)
+	s.rows.restore(from)
+}
+
+// SetEraHeader replaces the value of the header with the era by the given one, which may be
+// malformed, or leaves the header out if that is empty. With nil the header has the true value.
+func (s *Server) SetEraHeader(value *string) { s.eraHeader.Store(value) }
+
+// setEra sets the header with the era of a response.
+func (s *Server) setEra(w http.ResponseWriter, era platform.Era) {
+	value := era.String()
+	if replaced := s.eraHeader.Load(); replaced != nil {
+		value = *replaced
+	}
+	w.Header().Del(platform.EraHeader)
+	if value != "" {
+		w.Header().Set(platform.EraHeader, value)
+	}
+}
+
+// writeRows responds with a status and rows, and with the era that they are of.
+func (s *Server) writeRows(w http.ResponseWriter, status int, rows platform.StoreRows) {
+	s.setEra(w, rows.Era)
+	rows.Era = 0
+	writeJSON(w, status, rows)
+}
+
 // PutRow writes a row as operators and backend servers do, without conditions and
 // faults, and returns its version.
 func (s *Server) PutRow(table, key string, value []byte) uint64 {
-	version, _ := s.rows.commit(nil, []platform.StoreRow{
+	return s.rows.commit(nil, []platform.StoreRow{
 		{
 			Table: table,
 			Key:   key,
 			Value: value,
 		},
-	}, nil)
-	return version
+	}, nil).Version
 }
 
 // RemoveRow removes a row as operators and backend servers do, without conditions
@@ -150,7 +192,7 @@
 		s.serveTransaction(w, r)
 	case path == "/v1/rows-get" && r.Method == http.MethodGet:
 		query := r.URL.Query()
-		writeJSON(w, http.StatusOK, s.rows.readRange(query.Get("table"), query.Get("part"), query.Get("from"), query.Get("target")))
+		s.writeRows(w, http.StatusOK, s.rows.readRange(query.Get("table"), query.Get("part"), query.Get("from"), query.Get("target")))
 	case path == "/v1/rows-feed" && r.Method == http.MethodGet:
 		s.serveFeed(w, r)
 	case strings.HasPrefix(path, putObjectPath) && r.Method == http.MethodPut:
@@ -188,16 +230,12 @@
 			return
 		}
 	}
-	version, conflicts := s.rows.commit(body.Expected, body.Upserts, body.Remove)
-	result := platform.StoreRows{
-		Rows:    conflicts,
-		Version: version,
-	}
-	if conflicts != nil {
-		writeJSON(w, http.StatusPreconditionFailed, result)
-		return
+	result := s.rows.commit(body.Expected, body.Upserts, body.Remove)
+	status := http.StatusOK
+	if result.Rows != nil {
+		status = http.StatusPreconditionFailed
 	}
-	writeJSON(w, http.StatusOK, result)
+	s.writeRows(w, status, result)
 }
 
 // serveFeed responds with a table's changes after a version, as a long poll. If
@@ -214,12 +252,20 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	calledIn := s.rows.currentEra()
 	page, available := s.rows.awaitChanges(r.Context(), query.Get("table"), after, time.Duration(waitMS)*time.Millisecond)
+	if page.Era != calledIn {
+		if s.silentReturn.Load() {
+			<-r.Context().Done()
+		}
+		panic(http.ErrAbortHandler)
+	}
 	if !available {
+		s.setEra(w, page.Era)
 		http.Error(w, "the history is gone", http.StatusGone)
 		return
 	}
-	writeJSON(w, http.StatusOK, page)
+	s.writeRows(w, http.StatusOK, page)
 }
 
 // putObject stores the body under an escaped object ID. With the header
