entry/registry: a return from a copy begins the grace of missing registrations

Seen in a test: where the store comes back from a copy between two calls, so that none fails, servers that registered since the copy are removed at once, and stay away until their next heartbeat.

Cause: missing registrations are doubtful instead of gone only within two seconds of a failed call.

Change: the first full read in another era counts like a failed call, as of when the process learned of the era.

Test: TestServersStayUntilTheyRegisterAgain; with the change taken out it says that a live server is not registered, for all four kinds of outage.

--- a/entry/registry/era_test.go
+++ b/entry/registry/era_test.go
@@ -105,6 +105,39 @@
 	}
 }
 
+// TestServersStayUntilTheyRegisterAgain guards against a service without servers after the store
+// came back from a copy older than their registrations, where no call of the store failed. A
+// server that does not register again is removed.
+func TestServersStayUntilTheyRegisterAgain(t *testing.T) {
+	const heartbeat = 1500 * time.Millisecond
+	for _, kind := range outagesOfDrills {
+		t.Run(kind.name, func(t *testing.T) {
+			// The return comes at different moments of the pause between two calls.
+			for offset := time.Duration(0); offset < 2*time.Second; offset += 170 * time.Millisecond {
+				testRegistry(t, func(t *testing.T, r *recordingRegistry) {
+					r.runWithTwoServers()
+					copied := r.store.TakeCopy()
+					r.putServer("alive", "ready", 1)
+					r.putServer("gone", "ready", 1)
+					time.Sleep(3*time.Second + offset)
+					r.drill(kind, copied)
+					for end := time.Now().Add(heartbeat); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+						registered, _, _ := r.serverState("alive")
+						assert.Assert(t, registered, "offset %s", offset)
+					}
+					r.putServer("alive", "ready", 2)
+					time.Sleep(r.MaxLag() + 2*time.Second + pollPause + callBound)
+					synctest.Wait()
+					registered, _, doubtful := r.serverState("alive")
+					assert.Assert(t, registered && !doubtful, "offset %s", offset)
+					registered, _, _ = r.serverState("gone")
+					assert.Assert(t, !registered, "offset %s", offset)
+				})
+			}
+		})
+	}
+}
+
 // TestSnapshotOfAnEarlierEraIsReplaced guards against registrations that an entry takes from
 // another one while the store is away, and that keep those of the store away, because their
 // versions are of an earlier era and higher.
--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -94,7 +94,7 @@
 	// was noticed, and are not used.
 	missing map[string]time.Time
 	// lastServerTableFailure is the time of the last failed call for the server table, of
-	// this entry or its reader.
+	// this entry or its reader, or of the store's last return from a copy.
 	lastServerTableFailure time.Time
 	// logs holds the recent changes by table.
 	logs map[string]*tableLog
@@ -119,9 +119,9 @@
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 300 * time.Millisecond
 	// registrationGrace is how long after the last failed call for the server table a
-	// missing registration doesn't yet count as removed. According to the platform's
-	// documentation, the registration of a running backend server may be missing for two
-	// seconds.
+	// missing registration doesn't yet count as removed, nor after the store's return from a
+	// copy. According to the platform's documentation, the registration of a running backend
+	// server may be missing for two seconds.
 	registrationGrace = 2 * time.Second
 )
 
--- a/entry/registry/tables.go
+++ b/entry/registry/tables.go
@@ -90,10 +90,7 @@
 	}
 	r.mu.Lock()
 	if contents.Era != r.serverEra {
-		r.serverEra = contents.Era
-		for serverID := range r.rowVersions {
-			r.rowVersions[serverID] = 0
-		}
+		r.beginServerEra(contents.Era)
 	}
 	for serverID := range r.rowVersions {
 		if !present[serverID] {
