entry/registry: registrations of a copy take nothing back

Cause: the full read after a return applies each row of the copy, also one that its server wrote before what the entry has read since. Versions no longer tell them apart.

Change: rows of the same start of a server are compared by the server's own count of its writes. One that is older than what is known, or than the removal of the server in the last minute, is held: what is known stays until a newer row comes. A server that lives and has nothing else to say writes nothing, so after two seconds and three heartbeats, in which the store removes the rows of silent servers, the row counts.

Why it works: a server that drains or leaves writes that again, with a higher count, or its row goes.

--- a/entry/platform_node.go
+++ b/entry/platform_node.go
@@ -165,16 +165,17 @@
 		ServerPollPause: func() time.Duration {
 			return registrationPollInterval(n.settings.Load().Bounds.DrainTime, n.fleet.LongestRoundTrip())
 		},
-		MaxLag:             func() time.Duration { return n.settings.Load().Bounds.StableWindow },
-		OnConfiguration:    n.fleet.Configure,
-		OnEvacuations:      n.fleet.SetEvacuated,
-		OnServersUpdated:   n.updateServers,
-		OnServersRemoved:   n.removeServers,
-		OnDoubtfulServers:  n.fleet.SetDoubtful,
-		OnServersConfirmed: n.confirmServers,
-		Logger:             logger,
-		SnapshotSources:    n.snapshotSources,
-		FindReader:         n.findReader,
+		MaxLag:               func() time.Duration { return n.settings.Load().Bounds.StableWindow },
+		RegistrationInterval: func() time.Duration { return n.settings.Load().RegistrationInterval },
+		OnConfiguration:      n.fleet.Configure,
+		OnEvacuations:        n.fleet.SetEvacuated,
+		OnServersUpdated:     n.updateServers,
+		OnServersRemoved:     n.removeServers,
+		OnDoubtfulServers:    n.fleet.SetDoubtful,
+		OnServersConfirmed:   n.confirmServers,
+		Logger:               logger,
+		SnapshotSources:      n.snapshotSources,
+		FindReader:           n.findReader,
 	}
 	n.gateway = &gateway.Gateway{
 		HeaderNames:     platform.HeaderNames,
--- a/entry/registry/era_test.go
+++ b/entry/registry/era_test.go
@@ -44,6 +44,9 @@
 	},
 }
 
+// heartbeat is the interval at which servers renew their registrations.
+const heartbeat = 1500 * time.Millisecond
+
 // drill lets the store be away and come back from a copy.
 func (r *recordingRegistry) drill(kind outageOfDrill, from store.Copy) {
 	r.store.SetFault(store.Fault{
@@ -109,7 +112,6 @@
 // came back from a copy older than their registrations, where no call of the store failed. A
 // server that does not register again is removed.
 func TestServersStayUntilTheyRegisterAgain(t *testing.T) {
-	const heartbeat = 1500 * time.Millisecond
 	for _, kind := range outagesOfDrills {
 		t.Run(kind.name, func(t *testing.T) {
 			// The return comes at different moments of the pause between two calls.
@@ -138,6 +140,59 @@
 	}
 }
 
+// TestOlderRegistrationsTakeNothingBack guards against requests to servers that are draining or
+// have left, because the store came back from a copy in which they are ready. A server that
+// lives is used again although its row in the copy is older than its removal, and one that started
+// again counts from the start.
+func TestOlderRegistrationsTakeNothingBack(t *testing.T) {
+	for _, kind := range outagesOfDrills {
+		for _, drills := range []int{1, 2} {
+			t.Run(fmt.Sprintf("%s, %d drills", kind.name, drills), func(t *testing.T) {
+				testRegistry(t, func(t *testing.T, r *recordingRegistry) {
+					r.runWithTwoServers()
+					for _, id := range []string{"draining", "left", "expired", "restarted"} {
+						r.putIncarnation(id, "ready", 1, 1000)
+					}
+					copied := r.store.TakeCopy()
+					time.Sleep(2 * time.Second)
+					r.putIncarnation("draining", "draining", 5, 1000)
+					r.putIncarnation("restarted", "ready", 5, 1000)
+					r.store.RemoveRow(platform.ServerTable, "left")
+					r.store.RemoveRow(platform.ServerTable, "expired")
+					time.Sleep(3 * time.Second)
+					check := func() {
+						_, draining, _ := r.serverState("draining")
+						assert.Assert(t, draining)
+						registered, _, _ := r.serverState("left")
+						assert.Assert(t, !registered)
+						registered, _, _ = r.serverState("restarted")
+						assert.Assert(t, registered)
+					}
+					check()
+					for range drills {
+						r.drill(kind, copied)
+						for end := time.Now().Add(heartbeat); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+							check()
+						}
+					}
+					r.putIncarnation("draining", "draining", 6, 1000)
+					r.store.RemoveRow(platform.ServerTable, "left")
+					r.putIncarnation("restarted", "ready", 1, 2000)
+					time.Sleep(r.MaxLag() + pollPause + callBound)
+					check()
+					assert.Equal(t, r.serverStart("restarted"), int64(2000))
+					for end := time.Now().Add(2*time.Second + 3*heartbeat + r.MaxLag()); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+						check()
+					}
+					synctest.Wait()
+					registered, _, _ := r.serverState("expired")
+					assert.Assert(t, registered)
+				})
+			})
+		}
+	}
+}
+
 // TestSnapshotOfAnEarlierEraIsReplaced guards against registrations that an entry takes from
 // another one while the store is away, and that keep those of the store away, because their
 // versions are of an earlier era and higher.
--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -60,6 +60,8 @@
 	// SnapshotSources returns functions that each fetch a snapshot from another
 	// entry. A starting entry uses them while the store does not answer.
 	SnapshotSources func() []func(context.Context) (Snapshot, error)
+	// RegistrationInterval returns the interval at which servers renew their registrations.
+	RegistrationInterval func() time.Duration
 	// FindReader returns the reader of this entry: the entry that reads the store for it. It
 	// returns nil if this entry reads the store itself, and then whether it also does so for
 	// others. If FindReader is nil, each entry reads for itself.
@@ -89,6 +91,12 @@
 	operatorEra platform.Era
 	// lastSuccess holds the time of the last successful call for each table.
 	lastSuccess map[string]time.Time
+	// held holds, by server ID, the rows of the store that are older than what is known of
+	// their servers, see holdOlderRows. They are applied at heldUntil, unless newer rows come.
+	held      map[string]platform.StoreRow
+	heldUntil time.Time
+	// removed holds, by server ID, the last rows of servers that were removed lately.
+	removed map[string]removedRow
 	// missing holds the IDs of the servers whose registrations went missing within
 	// registrationGrace of lastServerTableFailure. The values are the times at which that
 	// was noticed, and are not used.
--- a/entry/registry/registry_test.go
+++ b/entry/registry/registry_test.go
@@ -96,14 +96,15 @@
 		Regions: map[string]string{
 			"north-a": "north",
 		},
-		ServerPollPause:    func() time.Duration { return time.Second },
-		MaxLag:             func() time.Duration { return 3 * time.Second },
-		OnConfiguration:    func(*routing.Configuration) {},
-		OnEvacuations:      r.setEvacuated,
-		OnServersUpdated:   r.update,
-		OnServersRemoved:   r.remove,
-		OnDoubtfulServers:  r.setDoubtful,
-		OnServersConfirmed: r.confirm,
+		ServerPollPause:      func() time.Duration { return time.Second },
+		MaxLag:               func() time.Duration { return 3 * time.Second },
+		RegistrationInterval: func() time.Duration { return heartbeat },
+		OnConfiguration:      func(*routing.Configuration) {},
+		OnEvacuations:        r.setEvacuated,
+		OnServersUpdated:     r.update,
+		OnServersRemoved:     r.remove,
+		OnDoubtfulServers:    r.setDoubtful,
+		OnServersConfirmed:   r.confirm,
 		SnapshotSources: func() []func(context.Context) (registry.Snapshot, error) {
 			return nil
 		},
@@ -189,6 +190,13 @@
 	return registered, server.Draining, slices.Contains(r.doubtful, id)
 }
 
+// serverStart returns when a server started, according to its registration.
+func (r *recordingRegistry) serverStart(id string) int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.servers[id].StartUnixMS
+}
+
 func (r *recordingRegistry) putConfiguration(version int) {
 	r.store.PutRow(platform.OperatorTable, platform.ConfigurationKey, fmt.Appendf(nil,
 		`{"version":%d,"vhosts":[{"host":"a","paths":[{"name":"r","prefix":"/","service":"desk"}]}]}`, version))
@@ -199,6 +207,12 @@
 		`{"addr":"10.0.0.9:80","info":{"service":"desk","zone":"north-a","slots":3},"status":{"state":%q,"seq":%d,"cold_left":"0ms"}}`, state, sequence))
 }
 
+// putIncarnation writes the registration of a server that states when it started.
+func (r *recordingRegistry) putIncarnation(id, state string, sequence int, start int64) {
+	r.store.PutRow(platform.ServerTable, id, fmt.Appendf(nil,
+		`{"addr":"10.0.0.9:80","info":{"service":"desk","zone":"north-a","slots":3},"status":{"state":%q,"seq":%d,"cold_left":"0ms"},"born":%d}`, state, sequence, start))
+}
+
 func (r *recordingRegistry) configurationVersion() uint64 {
 	if conf := r.Configuration(); conf != nil {
 		return conf.Version
--- a/entry/registry/tables.go
+++ b/entry/registry/tables.go
@@ -91,6 +91,7 @@
 	r.mu.Lock()
 	if contents.Era != r.serverEra {
 		r.beginServerEra(contents.Era)
+		rows = r.holdOlderRows(rows)
 	}
 	for serverID := range r.rowVersions {
 		if !present[serverID] {
@@ -118,19 +119,22 @@
 	updated := make(map[string]routing.Server)
 	removed := make(map[string]bool)
 	r.mu.Lock()
-	// The three maps are always created together.
+	// The maps are always created together.
 	if r.rowVersions == nil {
 		r.rowVersions = make(map[string]uint64)
 		r.missing = make(map[string]time.Time)
 		r.serverRows = make(map[string]platform.StoreRow)
+		r.removed = make(map[string]removedRow)
 	}
 	now := time.Now()
+	rows = r.releaseHeldRows(rows, now)
 	withinGrace := now.Sub(r.lastServerTableFailure) < registrationGrace
 	for _, row := range rows {
 		if row.Version <= r.rowVersions[row.Key] {
 			continue
 		}
 		if row.Removed {
+			r.recordRemoved(row.Key, now)
 			delete(r.rowVersions, row.Key)
 			delete(r.serverRows, row.Key)
 			delete(updated, row.Key)
@@ -143,6 +147,7 @@
 		}
 		r.rowVersions[row.Key] = row.Version
 		r.serverRows[row.Key] = row
+		delete(r.removed, row.Key)
 		server, err := platform.DecodeServer(row.Key, row.Value, r.Regions)
 		if err != nil {
 			r.Logger.Warn().Str("event", "registration-unreadable").Str("server", row.Key).Err(err).Msg("")
