entry/registry: evacuations outlast the store's return from a copy

Seen in a test: a failure domain that was evacuated in the seconds that the store lost gets requests again from the first full read after the return on, until the operator writes the evacuation again.

Cause: a full read replaces the set of evacuations.

Change: in the first full read in another era, evacuations that are known and missing hold for ten seconds more, in which operators write them again. An evacuation that the copy has although it was taken back holds until that is written again: it only keeps requests away.

--- a/entry/registry/era.go
+++ b/entry/registry/era.go
@@ -19,15 +19,51 @@
 	for serverID := range r.rowVersions {
 		r.rowVersions[serverID] = 0
 	}
-	returnedAt := r.ServerStore.Eras.ChangedAt()
-	if returnedAt.IsZero() {
-		returnedAt = time.Now()
-	}
-	if returnedAt.After(r.lastServerTableFailure) {
+	if returnedAt := eraChangedAt(r.ServerStore); returnedAt.After(r.lastServerTableFailure) {
 		r.lastServerTableFailure = returnedAt
 	}
 }
 
+// eraChangedAt returns when this process learned that the store had come back from a copy, or the
+// present time if that is not known.
+func eraChangedAt(store *platform.Client) time.Time {
+	if changedAt := store.Eras.ChangedAt(); !changedAt.IsZero() {
+		return changedAt
+	}
+	return time.Now()
+}
+
+// evacuationGrace is how long after the store's return from a copy an evacuation that the copy
+// lacks stays in force. Operators write it again if it is to last.
+const evacuationGrace = 10 * time.Second
+
+// keepEvacuations adds the rows among the known ones that request evacuations to the operator
+// rows, as lost until a row of the store confirms them. The caller must hold r.mu.
+func (r *Registry) keepEvacuations(known map[string]platform.StoreRow) {
+	r.lostEvacuations = make(map[string]bool)
+	r.lostEvacuationsEnd = eraChangedAt(r.OperatorStore).Add(evacuationGrace)
+	for key, row := range known {
+		if _, ok := platform.EvacuatedDomain(key); ok {
+			r.operatorRows[key] = row
+			r.lostEvacuations[key] = true
+		}
+	}
+}
+
+// endLostEvacuations removes the rows of lost evacuations if their time is over, and reports
+// whether there were any. The caller must hold r.mu.
+func (r *Registry) endLostEvacuations() bool {
+	if len(r.lostEvacuations) == 0 || time.Now().Before(r.lostEvacuationsEnd) {
+		return false
+	}
+	for key := range r.lostEvacuations {
+		r.Logger.Warn().Str("event", "evacuation-lost").Str("key", key).Msg("")
+		delete(r.operatorRows, key)
+	}
+	r.lostEvacuations = nil
+	return true
+}
+
 // removedRow is the last row of a server that was removed.
 type removedRow struct {
 	platform.StoreRow
--- a/entry/registry/era_test.go
+++ b/entry/registry/era_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -193,6 +195,55 @@
 	}
 }
 
+// TestEvacuationsOutlastReturnFromCopy guards against requests to an evacuated failure domain
+// because the store came back from a copy older than the evacuation. One that operators don't
+// write again ends, and one that the copy has although it was taken back holds until that is
+// written again.
+func TestEvacuationsOutlastReturnFromCopy(t *testing.T) {
+	const (
+		rewritten = "evacuate/north-a"
+		forgotten = "evacuate/north-b"
+		takenBack = "evacuate/north-c"
+	)
+	for _, kind := range outagesOfDrills {
+		for _, drills := range []int{1, 2} {
+			t.Run(fmt.Sprintf("%s, %d drills", kind.name, drills), func(t *testing.T) {
+				testRegistry(t, func(t *testing.T, r *recordingRegistry) {
+					r.store.PutRow(platform.OperatorTable, takenBack, []byte("{}"))
+					r.runWithTwoServers()
+					copied := r.store.TakeCopy()
+					r.store.PutRow(platform.OperatorTable, rewritten, []byte("{}"))
+					r.store.PutRow(platform.OperatorTable, forgotten, []byte("{}"))
+					r.store.RemoveRow(platform.OperatorTable, takenBack)
+					r.putConfiguration(7)
+					time.Sleep(3 * time.Second)
+					assert.DeepEqual(t, r.evacuated(), []string{"north-a", "north-b"})
+					// Operators need some seconds.
+					for range drills {
+						r.drill(kind, copied)
+						for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+							assert.Assert(t, slices.Contains(r.evacuated(), "north-a"))
+							assert.Assert(t, slices.Contains(r.evacuated(), "north-b"))
+						}
+					}
+					snapshot, _ := r.Snapshot()
+					assert.Equal(t, len(snapshot.Operators.Rows), 4, "a configuration and three evacuations")
+					assert.Assert(t, strings.Contains(string(snapshot.Operators.Rows[0].Value), `"version":7,`))
+					r.store.PutRow(platform.OperatorTable, rewritten, []byte("{}"))
+					r.store.RemoveRow(platform.OperatorTable, takenBack)
+					time.Sleep(10*time.Second + r.MaxLag())
+					synctest.Wait()
+					assert.DeepEqual(t, r.evacuated(), []string{"north-a"})
+					assert.Equal(t, r.configurationVersion(), uint64(7))
+					r.store.RemoveRow(platform.OperatorTable, rewritten)
+					time.Sleep(r.MaxLag())
+					assert.Equal(t, len(r.evacuated()), 0)
+				})
+			})
+		}
+	}
+}
+
 // TestSnapshotOfAnEarlierEraIsReplaced guards against registrations that an entry takes from
 // another one while the store is away, and that keep those of the store away, because their
 // versions are of an earlier era and higher.
--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -76,8 +76,11 @@
 
 	// mu guards the fields below.
 	mu sync.Mutex
-	// evacuated holds the evacuated failure domains.
-	evacuated map[string]bool
+	// lostEvacuations holds the keys of those operator rows that request evacuations and that the
+	// store lacks since it came back from a copy, see keepEvacuations. They end at
+	// lostEvacuationsEnd.
+	lostEvacuations    map[string]bool
+	lostEvacuationsEnd time.Time
 	// rowVersions holds, by server ID, the newest known version of each row in the server
 	// table, so that an older version doesn't replace it. The versions of removed rows are
 	// not kept. They are those of serverEra.
@@ -289,10 +292,7 @@
 		r.Logger.Info().Str("event", "table-read").Str("table", watched.table).Stringer("era", contents.Era).Uint64("version", contents.Version).Int("rows", len(contents.Rows)).Msg("")
 		return contents.Position(), true, nil
 	}
-	wait := longPoll
-	if watched.table == platform.ServerTable {
-		wait = min(wait, r.maxServerLongPoll())
-	}
+	wait := min(longPoll, r.maxLongPoll(watched.table))
 	if r.readsForOthers() {
 		share := readerPollShare
 		if !watched.pauses {
@@ -339,16 +339,19 @@
 	return time.Duration(1+rows/pageRows) * callTimeout
 }
 
-// maxServerLongPoll returns the longest time for which the store may hold a call for the
-// server table: longPoll, or the rest of the grace period if registrations are missing.
-// Their servers are removed by applyServerRows after the call, even if no row has changed.
-func (r *Registry) maxServerLongPoll() time.Duration {
+// maxLongPoll returns the longest time for which the store may hold a call for a table: longPoll,
+// or the rest of the grace period if registrations are missing or evacuations lost. They are
+// removed by applyServerRows and applyOperatorRows after the call, even if no row has changed.
+func (r *Registry) maxLongPoll(table string) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.missing) == 0 {
-		return r.longPoll()
+	switch {
+	case table == platform.ServerTable && len(r.missing) > 0:
+		return max(0, registrationGrace-time.Since(r.lastServerTableFailure))
+	case table == platform.OperatorTable && len(r.lostEvacuations) > 0:
+		return max(0, time.Until(r.lostEvacuationsEnd))
 	}
-	return max(0, registrationGrace-time.Since(r.lastServerTableFailure))
+	return r.longPoll()
 }
 
 // recordFailure records a failed call for a table, and its time if it is the server table. The
--- a/entry/registry/registry_test.go
+++ b/entry/registry/registry_test.go
@@ -179,7 +179,7 @@
 func (r *recordingRegistry) evacuated() []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.Clone(r.evacuatedDomains)
+	return slices.Sorted(slices.Values(r.evacuatedDomains))
 }
 
 // serverState reports whether a server is registered, draining and doubtful.
--- a/entry/registry/relay.go
+++ b/entry/registry/relay.go
@@ -207,9 +207,7 @@
 	readerCtx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	defer context.AfterFunc(eraEnded, cancel)()
-	if watched.table == platform.ServerTable {
-		wait = min(wait, r.maxServerLongPoll())
-	}
+	wait = min(wait, r.maxLongPoll(watched.table))
 	sentAt := time.Now()
 	changes, err := reader(readerCtx, watched.table, position, wait)
 	switch confirmedAt := sentAt.Add(changes.Held - changes.Age); {
--- a/entry/registry/tables.go
+++ b/entry/registry/tables.go
@@ -10,74 +10,92 @@
 )
 
 // replaceOperatorRows replaces all operator rows with those of a full read. Without a
-// configuration row among them, the current configuration stays in force. r.mu is unlocked
-// in between, so a concurrent Snapshot may contain no operator rows.
+// configuration row among them, the current configuration stays in force. In another era than
+// before, evacuations that the rows lack may be lost, see lostEvacuations.
 func (r *Registry) replaceOperatorRows(contents platform.StoreRows) {
-	rows := contents.Rows
 	r.mu.Lock()
-	r.evacuated = nil
-	r.operatorRows = nil
-	r.operatorEra = contents.Era
-	r.mu.Unlock()
-	r.applyOperatorRows(rows)
-	if len(rows) == 0 {
-		// applyOperatorRows does nothing without rows, but evacuations may have ended.
-		r.OnEvacuations(nil)
+	known := r.operatorRows
+	r.operatorRows = make(map[string]platform.StoreRow)
+	if configuration, found := known[platform.ConfigurationKey]; found {
+		r.operatorRows[platform.ConfigurationKey] = configuration
 	}
+	if contents.Era != r.operatorEra {
+		r.operatorEra = contents.Era
+		r.keepEvacuations(known)
+	}
+	r.updateOperatorRows(contents.Rows)
+	evacuated := r.evacuatedDomains()
+	r.mu.Unlock()
+	r.OnEvacuations(evacuated)
 }
 
-// applyOperatorRows applies changed and removed operator rows. If the configuration row
-// is removed or can't be decoded, the last valid configuration stays in force.
+// applyOperatorRows applies changed and removed operator rows, and ends evacuations that are
+// lost.
 func (r *Registry) applyOperatorRows(rows []platform.StoreRow) {
-	if len(rows) == 0 {
-		return
-	}
 	r.mu.Lock()
-	evacuated := maps.Clone(r.evacuated)
-	if evacuated == nil {
-		evacuated = make(map[string]bool)
+	ended := r.endLostEvacuations()
+	if len(rows) == 0 && !ended {
+		r.mu.Unlock()
+		return
 	}
+	r.updateOperatorRows(rows)
+	evacuated := r.evacuatedDomains()
+	r.mu.Unlock()
+	r.OnEvacuations(evacuated)
+}
+
+// updateOperatorRows updates the known operator rows. If the configuration row is removed or
+// can't be decoded, the last valid configuration stays in force. The caller must hold r.mu.
+func (r *Registry) updateOperatorRows(rows []platform.StoreRow) {
 	if r.operatorRows == nil {
 		r.operatorRows = make(map[string]platform.StoreRow)
 	}
 	for _, row := range rows {
+		if row.Key == platform.ConfigurationKey {
+			if !row.Removed && r.applyConfiguration(row) {
+				r.operatorRows[row.Key] = row
+			}
+			continue
+		}
+		delete(r.lostEvacuations, row.Key)
 		r.operatorRows[row.Key] = row
 		if row.Removed {
 			delete(r.operatorRows, row.Key)
 		}
 		if failureDomain, ok := platform.EvacuatedDomain(row.Key); ok {
-			if row.Removed {
-				delete(evacuated, failureDomain)
-			} else {
-				evacuated[failureDomain] = true
-			}
 			r.Logger.Info().Str("event", "evacuation").Str("failure-domain", failureDomain).Bool("taken-back", row.Removed).Uint64("row-version", row.Version).Msg("")
-			continue
 		}
-		if row.Key == platform.ConfigurationKey && !row.Removed {
-			r.applyConfiguration(row)
+	}
+}
+
+// evacuatedDomains returns the evacuated failure domains. The caller must hold r.mu.
+func (r *Registry) evacuatedDomains() map[string]bool {
+	evacuated := make(map[string]bool)
+	for key := range r.operatorRows {
+		if failureDomain, ok := platform.EvacuatedDomain(key); ok {
+			evacuated[failureDomain] = true
 		}
 	}
-	r.evacuated = evacuated
-	r.mu.Unlock()
-	r.OnEvacuations(evacuated)
+	return evacuated
 }
 
 // applyConfiguration puts the configuration in a row in force if it is valid and its
-// Version, which is not that of the row, is above the current configuration's. The caller
-// must hold r.mu, which stays locked while OnConfiguration is called.
-func (r *Registry) applyConfiguration(row platform.StoreRow) {
+// Version, which is not that of the row, is above the current configuration's. It reports
+// whether the row's configuration is in force now. The caller must hold r.mu, which stays
+// locked while OnConfiguration is called.
+func (r *Registry) applyConfiguration(row platform.StoreRow) bool {
 	next, err := platform.DecodeConfiguration(row.Value)
 	if err != nil {
 		r.Logger.Error().Str("event", "configuration-unreadable").Uint64("row-version", row.Version).Err(err).Msg("")
-		return
+		return false
 	}
 	if current := r.configuration.Load(); current != nil && current.Version >= next.Version {
-		return
+		return current.Version == next.Version
 	}
 	r.configuration.Store(next)
 	r.OnConfiguration(next)
 	r.Logger.Info().Str("event", "configuration-in-force").Uint64("version", next.Version).Uint64("row-version", row.Version).Int("routes", next.RouteCount()).Msg("")
+	return true
 }
 
 // replaceServerRows applies a full read of the server table. Known rows that it lacks
