entry/registry: registrations are unconfirmed just after a return from a copy

Seen in a test: the registrations count as complete 0.4 s after the store came back from a copy, while it lacks what servers wrote last. Servers of a failure domain that is taken back from an evacuation then count as warm although they have said otherwise.

Cause: each successful call for the server table confirms the registrations.

Change: not within two seconds of the process's learning of the new era, the time in which servers write again.

Test: TestRegistrationsAreUnconfirmedAfterReturn; before the change it failed for three of four kinds of outage (confirmed 0.4 to 1.8 s after the return).

--- a/entry/registry/era_test.go
+++ b/entry/registry/era_test.go
@@ -244,6 +244,28 @@
 	}
 }
 
+// TestRegistrationsAreUnconfirmedAfterReturn guards against servers that get requests as if they
+// were warm, because registrations count as complete that the store has just lost.
+func TestRegistrationsAreUnconfirmedAfterReturn(t *testing.T) {
+	for _, kind := range outagesOfDrills {
+		t.Run(kind.name, func(t *testing.T) {
+			testRegistry(t, func(t *testing.T, r *recordingRegistry) {
+				r.runWithTwoServers()
+				time.Sleep(5 * time.Second)
+				r.drill(kind, r.store.TakeCopy())
+				returned := time.Now()
+				for time.Since(returned) < 10*time.Second {
+					time.Sleep(20 * time.Millisecond)
+					confirmed := r.lastConfirmed().Sub(returned)
+					assert.Assert(t, confirmed < 0 || confirmed >= 2*time.Second, "confirmed %s after the return", confirmed)
+				}
+				synctest.Wait()
+				assert.Assert(t, time.Since(r.lastConfirmed()) < 3*time.Second)
+			})
+		})
+	}
+}
+
 // TestSnapshotOfAnEarlierEraIsReplaced guards against registrations that an entry takes from
 // another one while the store is away, and that keep those of the store away, because their
 // versions are of an earlier era and higher.
--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -55,7 +55,8 @@
 	OnDoubtfulServers func(ids []string)
 	// OnServersConfirmed is called after each successful call for the server table, behind the
 	// callbacks for its rows, with the time at which the store confirmed that there are no
-	// further ones.
+	// further ones. It is not called within registrationGrace of the store's return from a copy,
+	// while servers write again what the store has lost.
 	OnServersConfirmed func(at time.Time)
 	// SnapshotSources returns functions that each fetch a snapshot from another
 	// entry. A starting entry uses them while the store does not answer.
@@ -229,7 +230,7 @@
 		}
 		r.recordSuccess(watched.table)
 		if watched.table == platform.ServerTable {
-			r.OnServersConfirmed(r.confirmedAt(watched.table))
+			r.confirmServers()
 		}
 		delay = 0
 		if !relayed {
@@ -238,6 +239,14 @@
 	}
 }
 
+// confirmServers calls OnServersConfirmed, unless the store has just come back from a copy.
+func (r *Registry) confirmServers() {
+	confirmedAt := r.confirmedAt(platform.ServerTable)
+	if confirmedAt.Sub(r.ServerStore.Eras.ChangedAt()) >= registrationGrace {
+		r.OnServersConfirmed(confirmedAt)
+	}
+}
+
 // pollPause returns the pause after a successful call of the store for a table. A reader
 // pauses for less, because the entries that it reads for learn of changes later. An entry
 // that has a reader asks that next, without a pause.
