entry: registrations of a copy show no survivors

Seen in a test: a request that had crashed three servers is sent again to more of them, ten seconds later, instead of being refused.

Cause: the store came back from a copy 3.5 to 4.4 s after the crashes, before the registrations lapsed, and kept them for another 6.5 s. A server that is registered ten seconds after its failure counts as one that survived it, unless there was a gap in the registrations, and only an outage longer than the undisturbed window was one.

Change: a new era is a gap too.

Test: TestCrashesBeforeReturnFromCopyCount; before the change entry 0 would send the request.

--- a/entry/platform_site_test.go
+++ b/entry/platform_site_test.go
@@ -102,13 +102,15 @@
 		index+1, index%s.regions, s.slots, startUnixMS))
 }
 
-// memoryStore returns a client for the site's store.
-func (s *platformSite) memoryStore() *platform.Client {
-	return platform.NewClient("http://store", &http.Client{
+// memoryStore returns a client of an entry for the site's store.
+func (s *platformSite) memoryStore(n *platformNode) *platform.Client {
+	client := platform.NewClient("http://store", &http.Client{
 		Transport: handlerTransport{
 			handler: s.store,
 		},
 	})
+	client.Eras = &n.eras
+	return client
 }
 
 // start starts the entry with an index as a new process, which has no listeners.
@@ -143,6 +145,8 @@
 		IP:             ip,
 		PeerPorts:      [2]int{7720, 7735},
 		MaxDescriptors: 4100,
+		// The servers of a site write their registrations only when a test says so.
+		RegistrationInterval: 1500 * time.Millisecond,
 		Bounds: platform.Bounds{
 			StableWindow: undisturbedWindow,
 			DrainTime:    2500 * time.Millisecond,
@@ -159,8 +163,8 @@
 			Writer: io.Discard,
 		},
 	}, func() int64 { return 0 })
-	n.tracker.Store, n.registry.OperatorStore, n.registry.ServerStore = s.memoryStore(), s.memoryStore(), s.memoryStore()
-	n.trials.table = s.memoryStore().Platform().Table
+	n.tracker.Store, n.registry.OperatorStore, n.registry.ServerStore = s.memoryStore(n), s.memoryStore(n), s.memoryStore(n)
+	n.trials.table = s.memoryStore(n).Platform().Table
 	n.tracker.FillPresence = func(message *teaselv1.Presence) {
 		n.fillPresence(message)
 		for server := range s.busyServers {
--- a/entry/platform_suspects.go
+++ b/entry/platform_suspects.go
@@ -8,10 +8,12 @@
 	"github.com/teaselstack/teaselstack/entry/quarantine"
 )
 
-// confirmServers applies that the registrations known are those at a time.
+// confirmServers applies that the registrations known are those at a time. A return of the store
+// from a copy is a gap in them: it brings back those of servers that have ended.
 func (n *platformNode) confirmServers(at time.Time) {
 	n.fleet.ConfirmRegistrations(at)
-	if at.Sub(n.confirmedAt) > n.settings.Load().Bounds.StableWindow+confirmationSlack {
+	away := at.Sub(n.confirmedAt) > n.settings.Load().Bounds.StableWindow+confirmationSlack
+	if away || n.eras.ChangedAt().After(n.confirmedSince) {
 		n.confirmedSince = at
 	}
 	n.confirmedAt = at
--- a/entry/suspects_test.go
+++ b/entry/suspects_test.go
@@ -478,3 +478,33 @@
 		s.assertQuarantined(t, crashingDigest)
 	})
 }
+
+// TestCrashesBeforeReturnFromCopyCount guards against the end of a quarantine because the
+// registrations of the servers that crashed were still there: the store had come back from a
+// copy, and removed them some seconds after that.
+func TestCrashesBeforeReturnFromCopyCount(t *testing.T) {
+	// The registrations of servers that are silent lapse after three heartbeats, counted anew from
+	// two seconds after the return on.
+	const lapse = 4500 * time.Millisecond
+	for returnAfter := lapse - time.Second; returnAfter < lapse; returnAfter += 150 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			s := newPlatformSite(t, &platformSite{
+				regions: 3,
+				slots:   3,
+			}, 7, 6)
+			time.Sleep(10 * time.Second)
+			for index := range 3 {
+				s.nodes[index].suspects.RecordFailure(crashingDigest, "desk", fmt.Sprintf("i-%d@1", index))
+			}
+			copied := s.store.TakeCopy()
+			time.Sleep(returnAfter)
+			s.store.RestoreCopy(copied, false)
+			time.Sleep(2*time.Second + lapse)
+			for index := range 3 {
+				s.store.RemoveRow(platform.ServerTable, fmt.Sprintf("i-%d", index))
+			}
+			time.Sleep(20 * time.Second)
+			s.assertQuarantined(t, crashingDigest)
+		})
+	}
+}
