entry/presence: the rows of entries outlive a return from a copy

Seen in a test: a request that had crashed two servers crashed more than the quarantine allows, after the store had come back from a copy and all entries were killed a minute later.

Cause: an entry writes its row at its start and when its suspects change. The store lost that, and no entry wrote it again.

Change: an entry writes its row again when it learns of a new era, after a random delay of up to two seconds.

--- a/entry/presence/presence.go
+++ b/entry/presence/presence.go
@@ -74,9 +74,9 @@
 // peer is another entry as this one sees it.
 type peer struct {
 	Entry
-	// rowVersion is the version of the row from which the peer was last read, or 0 if it
-	// is known by its datagrams only.
-	rowVersion uint64
+	// rowPosition is the era and version of the row from which the peer was last read, zero if
+	// it is known by its datagrams only.
+	rowPosition platform.Position
 	// lastHeard is when the peer's last datagram arrived, zero if none did.
 	lastHeard time.Time
 	// lastSent is when the last datagram was sent to the peer, zero if none was.
@@ -138,6 +138,9 @@
 	// minWriteInterval is the shortest time between two writes of this entry's row after
 	// changes. Many servers may fail at the same time, each with other requests.
 	minWriteInterval = time.Second
+	// maxRewriteDelay is the longest time after which an entry writes its row again after the
+	// store's return from a copy. All entries learn of it at the same time.
+	maxRewriteDelay = 2 * time.Second
 	// storeTimeout is the timeout of a call to the store.
 	storeTimeout = 1500 * time.Millisecond
 	// maxDatagramBytes is the largest size of a datagram's payload. With its headers it
--- a/entry/presence/rows.go
+++ b/entry/presence/rows.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -12,7 +13,8 @@
 )
 
 // syncRows writes this entry's row, retrying until that succeeds, and again after each
-// signal on changed, after a pause of minWriteInterval. Once it is written, syncRows reads the rows of all entries at
+// signal on changed, after a pause of minWriteInterval, and after each return of the store from
+// a copy, which may have lost it. Once it is written, syncRows reads the rows of all entries at
 // intervals, until ctx is done. It logs when the store becomes unreachable and reachable
 // again.
 func (t *Tracker) syncRows(ctx context.Context, changed <-chan struct{}) {
@@ -20,6 +22,7 @@
 	var nextRead, lastWrite time.Time
 	readInterval := minReadInterval
 	for ctx.Err() == nil {
+		_, eraEnded := t.Store.Eras.Current()
 		err := error(nil)
 		switch {
 		case !created:
@@ -57,6 +60,10 @@
 		case <-changed:
 			stale = true
 			sleep(ctx, time.Until(lastWrite.Add(minWriteInterval)))
+		case <-eraEnded.Done():
+			stale = true
+			sleep(ctx, rand.N(maxRewriteDelay))
+			t.Logger.Info().Str("event", "row-rewritten").Msg("")
 		case <-timer.C:
 		}
 		timer.Stop()
@@ -149,7 +156,11 @@
 			t.logUnreadable(&table.Rows[i], err)
 			continue
 		}
-		if t.addPeer(message, table.Rows[i].Version) {
+		position := platform.Position{
+			Era:     table.Era,
+			Version: table.Rows[i].Version,
+		}
+		if t.addPeer(message, position) {
 			added++
 		}
 	}
@@ -159,9 +170,9 @@
 	return nil
 }
 
-// addPeer adds or replaces the peer that a row describes, see readRows, and reports
+// addPeer adds or replaces the peer that a row at a position describes, see readRows, and reports
 // whether it did.
-func (t *Tracker) addPeer(message *teaselv1.Presence, rowVersion uint64) bool {
+func (t *Tracker) addPeer(message *teaselv1.Presence, position platform.Position) bool {
 	name := message.GetName()
 	if name == t.Self().Name {
 		return false
@@ -169,12 +180,18 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	existing := t.peers[name]
-	if existing != nil && (existing.rowVersion >= rowVersion || !existing.timedOut(time.Now())) {
+	if existing != nil && (!existing.olderRow(position) || !existing.timedOut(time.Now())) {
 		return false
 	}
 	t.peers[name] = &peer{
-		Entry:      entryOf(message),
-		rowVersion: rowVersion,
+		Entry:       entryOf(message),
+		rowPosition: position,
 	}
 	return true
 }
+
+// olderRow reports whether the row from which the peer was last read, if any, is older than one at
+// a position.
+func (p *peer) olderRow(position platform.Position) bool {
+	return p.rowPosition.Version < position.Version
+}
--- a/entry/suspects_test.go
+++ b/entry/suspects_test.go
@@ -188,6 +188,31 @@
 	})
 }
 
+// TestSuspectsOutliveReturnFromCopy guards against a request that crashes more servers than the
+// quarantine allows, because the store lost the rows of the entries, or suspects in them, when it
+// came back from a copy, and all entries were killed some seconds later.
+func TestSuspectsOutliveReturnFromCopy(t *testing.T) {
+	for _, drills := range []int{1, 2} {
+		for _, silent := range []bool{false, true} {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSuspectSite(t, 7, 0)
+				copied := s.store.TakeCopy()
+				s.crashTwo(crashingDigest)
+				time.Sleep(undisturbedWindow)
+				for range drills {
+					s.store.RestoreCopy(copied, silent)
+					// An entry calls the store at least each minute.
+					time.Sleep(time.Minute + 3*time.Second)
+				}
+				s.restartAll()
+				s.nodes[6].suspects.RecordFailure(crashingDigest, "desk", "i-2@1")
+				time.Sleep(undisturbedWindow)
+				s.assertQuarantined(t, crashingDigest)
+			})
+		}
+	}
+}
+
 // TestSingleFailuresOutliveAllEntries guards against a request that crashes more servers than the
 // quarantine allows, because all entries were killed at the same time after each crash.
 func TestSingleFailuresOutliveAllEntries(t *testing.T) {
