entry/presence: rows of different eras can't be compared

Seen in a test: an entry that was replaced at another address just after the store came back from a copy was never sent a datagram there.

Cause: a peer that has timed out is replaced only by a row with a higher version, and versions go back with the store.

Change: the position of a peer's row has the era; a row of another era counts.

--- a/entry/presence/presence_test.go
+++ b/entry/presence/presence_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -128,3 +129,41 @@
 	_, count = nodes[0].tracker.Position()
 	assert.Equal(t, count, 4, "an entry that timed out must still count")
 }
+
+// TestReplacedEntryIsFoundAfterReturnFromCopy guards against an entry that is never told anything
+// at its new address, because its row got a lower version when the store had come back from a
+// copy than its earlier row had before.
+func TestReplacedEntryIsFoundAfterReturnFromCopy(t *testing.T) {
+	server := store.New()
+	storeServer := httptest.NewServer(server)
+	defer storeServer.Close()
+	copied := server.TakeCopy()
+	// put writes the row of an entry at a new address and returns its socket.
+	put := func() net.PacketConn {
+		conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+		assert.NilError(t, err)
+		t.Cleanup(func() { assert.Check(t, conn.Close()) })
+		content, err := proto.Marshal(&teaselv1.Presence{
+			Name:   "entry-9",
+			Region: "north",
+			Peers:  conn.LocalAddr().String(),
+		})
+		assert.NilError(t, err)
+		server.PutRow("entries", "entry-9", content)
+		return conn
+	}
+	heard := func(conn net.PacketConn) bool {
+		assert.NilError(t, conn.SetReadDeadline(time.Now().Add(100*time.Millisecond)))
+		_, _, err := conn.ReadFrom(make([]byte, 1))
+		return err == nil
+	}
+	for range 10 {
+		server.PutRow("others", "row", nil)
+	}
+	before := put()
+	startTestNode(t, storeServer.URL, 0, "north")
+	eventually(t, "the entry is told at its address", func() bool { return heard(before) })
+	server.RestoreCopy(copied, false)
+	after := put()
+	eventually(t, "the entry is told at its new address", func() bool { return heard(after) })
+}
--- a/entry/presence/rows.go
+++ b/entry/presence/rows.go
@@ -191,7 +191,7 @@
 }
 
 // olderRow reports whether the row from which the peer was last read, if any, is older than one at
-// a position.
+// a position. Those of different eras can't be compared, and the store's is the one that counts.
 func (p *peer) olderRow(position platform.Position) bool {
-	return p.rowPosition.Version < position.Version
+	return p.rowPosition.Era != position.Era || p.rowPosition.Version < position.Version
 }
