--- a/standin/store/store_test.go
+++ b/standin/store/store_test.go
@@ -94,3 +94,49 @@
 		assert.NilError(t, err)
 	}
 }
+
+// TestRevisionOfAnEarlierEra guards against a write on the condition of a revision that the store
+// gave out before it came back from a copy, and has given to another content since.
+func TestRevisionOfAnEarlierEra(t *testing.T) {
+	for _, known := range []bool{false, true} {
+		server, client := newClient(t)
+		ctx := context.Background()
+		_, err := client.Table.Commit(ctx, []platform.Write{
+			{
+				Row:   "b",
+				Value: []byte("1"),
+			},
+		})
+		assert.NilError(t, err)
+		copied := server.TakeCopy()
+		revisions, err := client.Table.Commit(ctx, createRowA)
+		assert.NilError(t, err)
+		server.RestoreCopy(copied, false)
+		server.PutRow("teasel", "a", []byte("another"))
+		if known {
+			_, err = client.Table.Read(ctx, "b")
+			assert.NilError(t, err)
+		}
+		_, err = client.Table.Commit(ctx, []platform.Write{
+			{
+				Row:              "a",
+				ExpectedRevision: revisions[0],
+				Value:            []byte("2"),
+			},
+		})
+		assert.Assert(t, errors.Is(err, platform.ErrEraChanged), "known %t: %v", known, err)
+		row, err := client.Table.Read(ctx, "a")
+		assert.NilError(t, err)
+		if known {
+			assert.Equal(t, string(row.Value), "another")
+		}
+		_, err = client.Table.Commit(ctx, []platform.Write{
+			{
+				Row:              "a",
+				ExpectedRevision: row.Revision,
+				Value:            []byte("3"),
+			},
+		})
+		assert.NilError(t, err, "known %t", known)
+	}
+}
