entry: claims to trials outlive the store's return from a copy

Seen in a test: a request that crashes servers, quarantined and tried once, was sent to five more servers while the store came back from a copy five times, 45 s apart. In another test a request that crashes nothing any more was refused, since the copy had a claim that its holder had withdrawn and forgotten.

Cause: the row of claims goes back with the store, and each process takes it as it is.

Change: no trial is granted for ten seconds after the process learned of a new era, also if the read of the row is the first call that shows it. Meanwhile each process writes its claims again that the row lacks, and withdraws again those that it had withdrawn in the last minute. It checks that for thirty seconds, since a write of the era before may still replace the row.

Why it works: a trial is granted only from a row to which all living holders have added their claims. A claim is lost with its process only, which permits one more trial: two servers, of three accepted.

--- a/entry/platform_trials.go
+++ b/entry/platform_trials.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/hex"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -22,7 +23,9 @@
 // request in a row of the platform's store, so that there is one over all entries and restarts.
 // While the store does not answer there is none.
 type trials struct {
-	table    platform.Table
+	table platform.Table
+	// eras holds the era of the store, which may lose claims when it comes back from a copy.
+	eras     *platform.Eras
 	suspects *quarantine.List
 	logger   *log.Logger
 	// ended is signalled when claims may be withdrawn, see run.
@@ -32,12 +35,16 @@
 	mu sync.Mutex
 	// claims holds the claims of this process, at most maxTrialClaims and those in use.
 	claims map[quarantine.Digest]*trialClaim
+	// withdrawn holds the lines of claims that were withdrawn from the row lately, and when.
+	withdrawn map[string]time.Time
 }
 
 // trialClaim is this process's claim to the trial of a request.
 type trialClaim struct {
 	// token tells the claim from those of other processes.
 	token string
+	// granted reports whether the row has had the claim.
+	granted bool
 	// sends counts the servers that the request has been sent to.
 	sends int
 	// mayHaveRun reports whether one of them may have run it.
@@ -62,16 +69,32 @@
 	maxTrialCommits = 3
 	// withdrawInterval is the time between two attempts to withdraw claims.
 	withdrawInterval = 5 * time.Second
+	// claimSettleTime is how long after the store's return from a copy no trial is granted, so
+	// that the other entries have learned of the return and written again claims that the store
+	// has lost.
+	claimSettleTime = 10 * time.Second
+	// claimRestoreTime is how long after the return an entry checks that the row has its claims,
+	// at withdrawInterval. A write of the era before may still replace the row.
+	claimRestoreTime = 3 * claimSettleTime
+	// withdrawnLifetime is how long the lines of withdrawn claims are kept. A copy of the store
+	// is some seconds old.
+	withdrawnLifetime = time.Minute
 )
 
+// errClaimsUnsettled reports that claims to trials may be missing from the row, because the store
+// has just come back from a copy.
+var errClaimsUnsettled = errors.New("the store has just come back from a copy")
+
 // newTrials returns trials of the requests that are quarantined in suspects.
 func newTrials(store *platform.Client, suspects *quarantine.List, logger *log.Logger) *trials {
 	return &trials{
-		table:    store.Platform().Table,
-		suspects: suspects,
-		logger:   logger,
-		ended:    make(chan struct{}, 1),
-		claims:   make(map[quarantine.Digest]*trialClaim),
+		table:     store.Platform().Table,
+		eras:      store.Eras,
+		suspects:  suspects,
+		logger:    logger,
+		ended:     make(chan struct{}, 1),
+		claims:    make(map[quarantine.Digest]*trialClaim),
+		withdrawn: make(map[string]time.Time),
 	}
 }
 
@@ -156,13 +179,18 @@
 		return false, nil
 	}
 	var held []quarantine.Digest
+	unsettled := false
 	err = t.updateRow(ctx, func(content []byte) []byte {
 		held = nil
+		// The read of the content may have been the first call since the store's return.
+		if unsettled = t.returnedWithin(claimSettleTime); unsettled {
+			return content
+		}
 		claimed := bytes.Clone(content)
 		for index, digest := range trial.Claims {
 			switch holder, found := findTrialClaim(content, digest); {
 			case !found:
-				claimed = append(claimed, hex.EncodeToString(digest[:])+" "+tokens[index]+"\n"...)
+				claimed = append(claimed, claimLine(digest, tokens[index])...)
 			case holder != tokens[index]:
 				held = append(held, digest)
 			}
@@ -170,13 +198,11 @@
 		if len(held) > 0 {
 			return content
 		}
-		lines := bytes.SplitAfter(claimed, []byte{'\n'})
-		// Behind the last line, there is an empty one.
-		if drop := len(lines) - 1 - maxTrialClaims; drop > 0 {
-			return bytes.Join(lines[drop:], nil)
-		}
-		return claimed
+		return lastClaims(claimed)
 	})
+	if err == nil && unsettled {
+		err = errClaimsUnsettled
+	}
 	if err != nil {
 		return false, err
 	}
@@ -186,13 +212,37 @@
 		// The claim may have been withdrawn meanwhile.
 		claim := t.claims[digest]
 		unused := claim != nil && len(held) > 0 && claim.sends == 0 && !claim.ended
-		if unused || slices.Contains(held, digest) {
+		switch {
+		case unused || slices.Contains(held, digest):
 			delete(t.claims, digest)
+		case claim != nil && len(held) == 0:
+			claim.granted = true
 		}
 	}
 	return len(held) == 0, nil
 }
 
+// claimLine returns the line of a claim in the row.
+func claimLine(digest quarantine.Digest, token string) string {
+	return hex.EncodeToString(digest[:]) + " " + token + "\n"
+}
+
+// lastClaims returns the last maxTrialClaims lines of the row's content.
+func lastClaims(content []byte) []byte {
+	lines := bytes.SplitAfter(content, []byte{'\n'})
+	// Behind the last line, there is an empty one.
+	if drop := len(lines) - 1 - maxTrialClaims; drop > 0 {
+		return bytes.Join(lines[drop:], nil)
+	}
+	return content
+}
+
+// returnedWithin reports whether the store has come back from a copy within a time.
+func (t *trials) returnedWithin(limit time.Duration) bool {
+	changedAt := t.eras.ChangedAt()
+	return !changedAt.IsZero() && time.Since(changedAt) < limit
+}
+
 // tokens returns the tokens of a trial's claims, of which it makes those that are missing. usable is
 // false if one of the claims has been used.
 func (t *trials) tokens(trial *quarantine.Trial) (tokens []string, usable bool) {
@@ -252,7 +302,7 @@
 			return nil
 		}
 		var conflict *platform.ConflictError
-		if !errors.As(err, &conflict) {
+		if !errors.As(err, &conflict) && !errors.Is(err, platform.ErrEraChanged) {
 			return err
 		}
 	}
@@ -301,54 +351,88 @@
 	}
 }
 
-// run withdraws claims until ctx is done.
+// run withdraws claims until ctx is done, and restores those that the store may have lost.
 func (t *trials) run(ctx context.Context) {
 	ticker := time.NewTicker(withdrawInterval)
 	defer ticker.Stop()
 	for {
+		_, eraEnded := t.eras.Current()
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.ended:
 		case <-ticker.C:
+		case <-eraEnded.Done():
 		}
-		t.withdraw(ctx)
+		t.syncClaims(ctx)
 	}
 }
 
-// withdraw removes from the row those claims of this process that have ended. One that can't be
-// removed stays, and there is no further trial of its request until a later call removes it.
-func (t *trials) withdraw(ctx context.Context) {
-	t.mu.Lock()
-	withdrawn := make(map[quarantine.Digest]string)
-	for digest, claim := range t.claims {
-		if claim.ended {
-			withdrawn[digest] = claim.token
-		}
-	}
-	t.mu.Unlock()
-	if len(withdrawn) == 0 {
+// syncClaims removes from the row those claims of this process that have ended. One that can't be
+// removed stays, and there is no further trial of its request until a later call removes it. After
+// the store's return from a copy, syncClaims also adds the others that the row lacks, and removes
+// those that were removed before.
+func (t *trials) syncClaims(ctx context.Context) {
+	restoring := t.returnedWithin(claimRestoreTime)
+	ended, kept := t.ownClaims(restoring)
+	if len(ended)+len(kept) == 0 {
 		return
 	}
 	err := t.updateRow(ctx, func(content []byte) []byte {
-		var left []byte
+		var claimed []byte
 		for line := range bytes.Lines(content) {
-			key, token, _ := bytes.Cut(bytes.TrimSpace(line), []byte{' '})
-			digest, err := hex.DecodeString(string(key))
-			if err == nil && len(digest) == len(quarantine.Digest{}) && len(token) > 0 && withdrawn[quarantine.Digest(digest)] == string(token) {
-				continue
+			if !ended[string(line)] {
+				claimed = append(claimed, line...)
 			}
-			left = append(left, line...)
 		}
-		return left
+		for digest, line := range kept {
+			if _, found := findTrialClaim(claimed, digest); !found {
+				claimed = append(claimed, line...)
+			}
+		}
+		return lastClaims(claimed)
 	})
 	if err != nil {
 		t.logger.Warn().Str("event", "trial-kept").Err(err).Msg("")
 		return
 	}
+	t.forgetEnded(ended)
+}
+
+// ownClaims returns the lines of this process's claims that have ended. If restoring is true, these
+// include the claims that were withdrawn lately, and kept holds the lines of those that have not
+// ended.
+func (t *trials) ownClaims(restoring bool) (ended map[string]bool, kept map[quarantine.Digest]string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ended, kept = make(map[string]bool), make(map[quarantine.Digest]string)
+	for digest, claim := range t.claims {
+		switch line := claimLine(digest, claim.token); {
+		case claim.ended:
+			ended[line] = true
+		case restoring && claim.granted:
+			kept[digest] = line
+		}
+	}
+	now := time.Now()
+	maps.DeleteFunc(t.withdrawn, func(_ string, at time.Time) bool { return now.Sub(at) >= withdrawnLifetime })
+	if restoring {
+		for line := range t.withdrawn {
+			ended[line] = true
+		}
+	}
+	return ended, kept
+}
+
+// forgetEnded forgets claims whose lines were removed from the row.
+func (t *trials) forgetEnded(ended map[string]bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for digest := range withdrawn {
-		delete(t.claims, digest)
+	now := time.Now()
+	for digest, claim := range t.claims {
+		if line := claimLine(digest, claim.token); ended[line] {
+			delete(t.claims, digest)
+			t.withdrawn[line] = now
+		}
 	}
 }
--- a/entry/suspects_test.go
+++ b/entry/suspects_test.go
@@ -347,6 +347,8 @@
 	crashing atomic.Bool
 	// reached holds when it reached a server.
 	reached []time.Time
+	// onReach is called when it reaches a server.
+	onReach func()
 	sends   int
 }
 
@@ -354,6 +356,7 @@
 func newCrashSite(t *testing.T) *crashSite {
 	t.Helper()
 	s := &crashSite{
+		onReach: func() {},
 		platformSite: newPlatformSite(t, &platformSite{
 			regions: 3,
 			slots:   3,
@@ -366,6 +369,7 @@
 				return false
 			}
 			s.reached = append(s.reached, time.Now())
+			s.onReach()
 			if s.crashing.Load() {
 				startUnixMS++
 				s.register(index, startUnixMS)
@@ -449,6 +453,58 @@
 	})
 }
 
+// TestTrialsOutliveReturnFromCopy guards against more than three retries of a request that crashes
+// servers, because the store lost the claim to its trial each time it came back from a copy.
+func TestTrialsOutliveReturnFromCopy(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newCrashSite(t)
+			copied := s.store.TakeCopy()
+			sendFor := func(seconds int) {
+				for range seconds {
+					s.send()
+					time.Sleep(time.Second)
+				}
+			}
+			sendFor(60)
+			tried := len(s.reached)
+			assert.Equal(t, tried, 4, "there must have been one trial")
+			for range 5 {
+				s.store.RestoreCopy(copied, silent)
+				sendFor(45)
+			}
+			assert.Equal(t, len(s.reached), tried, "silent %t", silent)
+		})
+	}
+}
+
+// TestEndedTrialStaysEndedAfterReturnFromCopy guards against the refusal of a request for ten
+// minutes because the store came back from a copy with a claim to an earlier trial, which had
+// succeeded and whose claim nobody holds any more.
+func TestEndedTrialStaysEndedAfterReturnFromCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newCrashSite(t)
+		s.crashing.Store(false)
+		var claimed store.Copy
+		s.onReach = func() { claimed = s.store.TakeCopy() }
+		for s.send() != http.StatusOK {
+			time.Sleep(time.Second)
+		}
+		s.onReach = func() {}
+		time.Sleep(20 * time.Second)
+		s.store.RestoreCopy(claimed, false)
+		time.Sleep(20 * time.Second)
+		s.crashThree()
+		s.crashing.Store(false)
+		time.Sleep(15 * time.Second)
+		for range 2 * len(s.nodes) {
+			s.send()
+			time.Sleep(time.Second)
+		}
+		assert.Equal(t, s.send(), http.StatusOK)
+	})
+}
+
 // TestUnusedTrialIsLeftToOtherEntries guards against the refusal of a request for ten minutes
 // because the entry that claimed its trial sent it to no server: it was stopping, for example. The
 // store may fail for a moment then.
