--- a/entry/registry/relay_test.go
+++ b/entry/registry/relay_test.go
@@ -320,6 +320,35 @@
 	})
 }
 
+// TestReaderOfAnEarlierEra guards against rows that a reader passes on from before the store came
+// back from a copy: the store is silent for the reader, and the follower knows of the return.
+func TestReaderOfAnEarlierEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRelayTest()
+		defer r.stop()
+		copied := r.reader.store.TakeCopy()
+		for range 4 {
+			r.change()
+		}
+		time.Sleep(5 * time.Second)
+		assert.NilError(t, r.upToDate(r.follower))
+		r.readerStore.set(pathSilent)
+		r.reader.store.RestoreCopy(copied, true)
+		r.change()
+		_, err := r.follower.OperatorStore.ReadTable(t.Context(), "others")
+		assert.NilError(t, err)
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			synctest.Wait()
+			assert.NilError(t, r.upToDate(r.follower))
+		}
+		r.readerStore.set(pathOpen)
+		time.Sleep(10 * time.Second)
+		assert.NilError(t, r.upToDate(r.reader))
+		assert.NilError(t, r.upToDate(r.follower))
+	})
+}
+
 // TestFollowerBehindTheReadersHistory checks that a follower that was cut off while more changed
 // than the reader keeps reads the whole table from the store.
 func TestFollowerBehindTheReadersHistory(t *testing.T) {
