standin/gate: the soak lets the store come back from copies

Beside the faults of a seed, the store goes back to a copy of up to six faults ago, after being silent or refusing for 0.6 s or without being away, also several times in a row. Operators write again what they wrote at once, servers within a heartbeat. The regression seeds keep their schedules. At the end all entries must have the configuration that was published last.

--- a/standin/gate/deployment_test.go
+++ b/standin/gate/deployment_test.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -93,6 +94,13 @@
 	extraSettings []string
 	// configurationVersion is the version that was published last.
 	configurationVersion int
+	// extraRoutes are those of the configuration that was published last.
+	extraRoutes string
+	// evacuated holds the failure domains for which operators have written an evacuation, and
+	// whether it is in force.
+	evacuated map[string]bool
+	// copies holds copies of the store, oldest first, for the soak test.
+	copies []store.Copy
 	// lastDrain is when the soak test last began the drain of a server.
 	lastDrain time.Time
 
@@ -132,6 +140,7 @@
 		store:       store.New(),
 		recorder:    &server.RunRecorder{},
 		gracePeriod: gracePeriod,
+		evacuated:   make(map[string]bool),
 	}
 	for _, option := range options {
 		option(d)
@@ -171,13 +180,19 @@
 // browse and book, followed by extraRoutes: JSON objects, each after a comma.
 func (d *deployment) publishConfiguration(extraRoutes string) {
 	d.configurationVersion += 3
+	d.extraRoutes = extraRoutes
+	d.writeConfiguration()
+}
+
+// writeConfiguration writes the configuration that was published last.
+func (d *deployment) writeConfiguration() {
 	d.store.PutRow(platform.OperatorTable, platform.ConfigurationKey, fmt.Appendf(nil, `{"version":%d,
 "services":[{"name":"desk","health_path":"/healthz","max_conns":330,"cold_start":"1s","cold_per_s":50}],
 "limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout":"3s","idle_timeout":"15s"},
 "vhosts":[{"host":"desk.example","paths":[
 {"name":"browse","prefix":"/browse/","kind":"safe","timeout":"1500ms","goal":"300ms","priority":2,"service":"desk","attempts":2,"sticky":true},
 {"name":"book","prefix":"/book/","kind":"unsafe","timeout":"1500ms","goal":"300ms","priority":1,"service":"desk","attempts":2,"sticky":true}%s]}]}`,
-		d.configurationVersion, extraRoutes))
+		d.configurationVersion, d.extraRoutes))
 }
 
 // addServer starts the server with an index and a proxy in front of it. The server
@@ -301,6 +316,27 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// awaitConfiguration waits until all entries have the configuration that was published last in
+// force.
+func (d *deployment) awaitConfiguration() {
+	d.t.Helper()
+	client := http.Client{
+		Timeout: time.Second,
+	}
+	line := fmt.Sprintf("configuration_version %d\n", d.configurationVersion)
+	d.eventually("all entries have "+line, func() bool {
+		return !slices.ContainsFunc(d.entries, func(entry *process) bool {
+			resp, err := client.Get("http://" + entry.ip + ":9464/metrics")
+			if err != nil {
+				return true
+			}
+			content, err := io.ReadAll(resp.Body)
+			resp.Body.Close()
+			return err != nil || !strings.Contains(string(content), line)
+		})
+	})
+}
+
 // eventually waits until a condition holds, and fails the test if that takes more
 // than 20 s. The event describes the condition for the message of a failure.
 func (d *deployment) eventually(event string, happened func() bool) {
--- a/standin/gate/soak_test.go
+++ b/standin/gate/soak_test.go
@@ -168,8 +168,8 @@
 	},
 	func(d *deployment, random *rand.Rand) (string, func()) {
 		domain := failureDomains[random.IntN(len(failureDomains))].name
-		d.store.PutRow(platform.OperatorTable, "evacuate/"+domain, []byte("{}"))
-		return "evacuate " + domain, func() { d.store.RemoveRow(platform.OperatorTable, "evacuate/"+domain) }
+		d.setEvacuated(domain, true)
+		return "evacuate " + domain, func() { d.setEvacuated(domain, false) }
 	},
 }
 
@@ -210,6 +210,44 @@
 	}
 }
 
+// setEvacuated writes an operators' request to evacuate a failure domain, or takes it back.
+func (d *deployment) setEvacuated(domain string, evacuated bool) {
+	d.evacuated[domain] = evacuated
+	if evacuated {
+		d.store.PutRow(platform.OperatorTable, "evacuate/"+domain, []byte("{}"))
+	} else {
+		d.store.RemoveRow(platform.OperatorTable, "evacuate/"+domain)
+	}
+}
+
+// returnFromCopy lets the store be away for a moment and come back from a copy some seconds old.
+// Operators and servers write again what they wrote, the servers within a heartbeat.
+func (d *deployment) returnFromCopy(random *rand.Rand) {
+	outage := []store.Outage{store.OutageNone, store.OutageRefuse, store.OutageDrop}[random.IntN(3)]
+	silent, age := random.IntN(2) == 0, random.IntN(len(d.copies))
+	d.t.Logf("fault: the store returns from copy %d of %d, outage %q, silent %t", age, len(d.copies), outage, silent)
+	if outage != store.OutageNone {
+		d.store.SetFault(store.Fault{
+			Outage: outage,
+		})
+		sleep(d.t.Context(), 600*time.Millisecond)
+	}
+	d.store.RestoreCopy(d.copies[age], silent)
+	d.store.SetFault(store.Fault{})
+	d.copies = d.copies[:age+1]
+	d.writeConfiguration()
+	for domain, evacuated := range d.evacuated {
+		d.setEvacuated(domain, evacuated)
+	}
+	for _, backend := range d.servers {
+		delay := time.Duration(random.IntN(int(1500 * time.Millisecond)))
+		d.group.Go(func() {
+			sleep(d.t.Context(), delay)
+			backend.RegisterAgain()
+		})
+	}
+}
+
 // regressionSeeds lists seeds that TestSoak always runs because they failed once:
 //
 //   - 17 stops an entry and pauses it before it has exited; the end of the first fault waited for
@@ -222,7 +260,8 @@
 
 // TestSoak injects randomly chosen faults, one after another and overlapping,
 // while callers keep their connections open. The seed determines the faults
-// and their order.
+// and their order. Except for the regressionSeeds, whose faults stay what they were, the store
+// comes back from copies meanwhile.
 func TestSoak(t *testing.T) {
 	seeds := slices.Clone(regressionSeeds)
 	for i := range *soakSeeds {
@@ -231,11 +270,15 @@
 	for _, seed := range seeds {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			d := startDeployment(t, 9)
-			random := rand.New(rand.NewPCG(seed, 3))
+			random, returns := rand.New(rand.NewPCG(seed, 3)), rand.New(rand.NewPCG(seed, 4))
+			if slices.Contains(regressionSeeds, seed) {
+				returns = nil
+			}
 			d.underLoad(callerCount, func() {
 				d.awaitServing()
-				d.injectFaults(random)
+				d.injectFaults(random, returns)
 				d.awaitServing()
+				d.awaitConfiguration()
 				if !d.lastDrain.IsZero() {
 					d.eventually("the drain time of the last drain has passed", func() bool { return time.Since(d.lastDrain) > drainTime+time.Second })
 				}
@@ -246,14 +289,19 @@
 }
 
 // injectFaults injects and ends faults. A fault may begin before the previous
-// one has ended, but each injector is used at most once.
-func (d *deployment) injectFaults(random *rand.Rand) {
+// one has ended, but each injector is used at most once. If returns is not nil, it determines
+// when the store comes back from a copy, also several times in a row.
+func (d *deployment) injectFaults(random, returns *rand.Rand) {
 	order := random.Perm(len(faultInjectors))[:faultsPerSeed]
 	var heals []func()
 	for i, index := range order {
+		d.copies = append(d.copies, d.store.TakeCopy())
 		name, heal := faultInjectors[index](d, random)
 		d.t.Logf("fault: %s", name)
 		heals = append(heals, heal)
+		for returns != nil && returns.IntN(3) == 0 {
+			d.returnFromCopy(returns)
+		}
 		sleep(d.t.Context(), time.Duration(random.IntN(int(600*time.Millisecond))))
 		if random.IntN(2) == 0 || i == len(order)-1 {
 			for _, heal := range heals {
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -181,8 +181,10 @@
 	arrivals []time.Time
 	// startUnixMS identifies the incarnation: the time of the last Start.
 	startUnixMS int64
-	// sequence is the number of registrations written by this incarnation.
+	// sequence is the number of registrations written by this incarnation, and state that of the
+	// last one.
 	sequence int
+	state    string
 	// drainingSince is when the drain started, or the zero time if the server is not
 	// draining.
 	drainingSince time.Time
@@ -271,6 +273,16 @@
 // Deregister removes the registration.
 func (s *Server) Deregister() { s.Store.RemoveRow(platform.ServerTable, s.ID) }
 
+// RegisterAgain writes the registration again with the present state, as after the store's
+// return from a copy. A server that has crashed writes nothing.
+func (s *Server) RegisterAgain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.httpServer != nil {
+		s.writeRegistration()
+	}
+}
+
 // SetFault replaces the injected faults.
 func (s *Server) SetFault(fault Fault) {
 	s.mu.Lock()
@@ -322,11 +334,17 @@
 // register writes the registration with a state and the next sequence number.
 func (s *Server) register(state string) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state = state
+	s.writeRegistration()
+}
+
+// writeRegistration writes the registration with the next sequence number. The caller must hold
+// s.mu.
+func (s *Server) writeRegistration() {
 	s.sequence++
-	value := fmt.Appendf(nil, `{"addr":%q,"info":{"service":%q,"version":"v1","zone":%q,"slots":%d},"status":{"state":%q,"seq":%d,"cold_left":"0ms"},"born":%d}`,
-		s.Address, s.Service, s.FailureDomain, s.Slots, state, s.sequence, s.startUnixMS)
-	s.mu.Unlock()
-	s.Store.PutRow(platform.ServerTable, s.ID, value)
+	s.Store.PutRow(platform.ServerTable, s.ID, fmt.Appendf(nil, `{"addr":%q,"info":{"service":%q,"version":"v1","zone":%q,"slots":%d},"status":{"state":%q,"seq":%d,"cold_left":"0ms"},"born":%d}`,
+		s.Address, s.Service, s.FailureDomain, s.Slots, s.state, s.sequence, s.startUnixMS))
 }
 
 // serve answers one request. A request for another server gets status 421. One that
