entry/placement: what servers state outlives their registrations

An entry that sees the registration come back, after an outage of the store or from a copy of it, knows nothing of the server's statements.

Cause: they are part of what is forgotten with the registration. One in a response that arrives behind the end of the registration was ignored.

--- a/entry/placement/fleet_test.go
+++ b/entry/placement/fleet_test.go
@@ -322,3 +322,36 @@
 		})
 	}
 }
+
+// TestStatementsOutliveRegistration guards against requests to a server that states that it is
+// leaving, before its registration goes or in a response that arrives behind that, and whose
+// registration comes back. One that starts again is used.
+func TestStatementsOutliveRegistration(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		server := newTestServer("server-0")
+		server.StartUnixMS = 1000
+		fleet := newTestFleet(server)
+		choice, refusal := fleet.Choose(newRequest(1))
+		assert.Equal(t, refusal, placement.RefusalNone)
+		leaves := func() {
+			fleet.ObserveStatement(&choice, routing.Statement{
+				Leaving: true,
+			})
+		}
+		if !late {
+			leaves()
+		}
+		fleet.Remove([]string{server.ID})
+		if late {
+			leaves()
+		}
+		for range 3 {
+			fleet.Update([]routing.Server{server})
+			assert.Assert(t, !fleet.Eligible(&server), "late %t", late)
+			fleet.Remove([]string{server.ID})
+		}
+		server.StartUnixMS = 2000
+		fleet.Update([]routing.Server{server})
+		assert.Assert(t, fleet.Eligible(&server), "late %t", late)
+	}
+}
--- a/entry/placement/limit.go
+++ b/entry/placement/limit.go
@@ -98,12 +98,21 @@
 }
 
 // ObserveStatement records what a server stated in a response to a request that Choose
-// placed there. A statement of an earlier incarnation is ignored.
+// placed there. A statement of an earlier incarnation is ignored. One of a server whose
+// registration is gone is kept in case it comes back.
 func (f *Fleet) ObserveStatement(choice *Choice, statement routing.Statement) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	record := f.servers[choice.Server.ID]
-	if record == nil || record.Incarnation() != choice.Server.Incarnation() {
+	if record == nil {
+		now := time.Now()
+		record = &serverRecord{
+			Server: choice.Server,
+		}
+		f.rejoin(record, now)
+		defer f.depart(record, now)
+	}
+	if record.Incarnation() != choice.Server.Incarnation() {
 		return
 	}
 	if statement.Leaving {
--- a/entry/placement/placement.go
+++ b/entry/placement/placement.go
@@ -55,6 +55,8 @@
 	peerReports peerReports
 	// byWireHash holds the same servers as servers, keyed by their wire hash.
 	byWireHash map[uint32]*serverRecord
+	// departed holds what servers had stated whose registrations are gone.
+	departed map[routing.Incarnation]departedServer
 	// peerDemands is keyed by the peer's name.
 	peerDemands map[string]*peerDemand
 	// entries caches the entries that serve callers, as of entriesAt.
@@ -150,6 +152,7 @@
 		roundTrips:      make(map[string]time.Duration),
 		utilizations:    make(map[string]cachedUtilization),
 		byWireHash:      make(map[uint32]*serverRecord),
+		departed:        make(map[routing.Incarnation]departedServer),
 		peerDemands:     make(map[string]*peerDemand),
 	}
 	for _, option := range opts {
--- a/entry/placement/update.go
+++ b/entry/placement/update.go
@@ -63,12 +63,17 @@
 	}
 	wasDraining, wasCold := record.Draining, now.Before(record.coldUntil)
 	record.Server, record.registeredAt = *registration, now
+	if newIncarnation {
+		f.rejoin(record, now)
+	}
 	if registration.ColdLeft > 0 {
 		record.coldUntil = now.Add(registration.ColdLeft)
 	}
 	switch {
 	case registration.Draining && (newIncarnation || !wasDraining):
 		f.notify(record, StateDraining, "registration")
+	case newIncarnation && record.leaving.leaving:
+		f.notify(record, StateDraining, "statement")
 	case registration.ColdLeft > 0 && (newIncarnation || !wasCold):
 		f.notify(record, StateCold, "registration")
 	case newIncarnation:
@@ -98,6 +103,7 @@
 	defer f.mu.Unlock()
 	for _, id := range ids {
 		if record := f.servers[id]; record != nil {
+			f.depart(record, time.Now())
 			delete(f.servers, id)
 			f.notify(record, StateGone, "registration")
 		}
