entry/registry: an earlier start of a server in a copy replaces no later one

Seen in a test: a server that had started again in the seconds that the store lost counts as the start before, which was warm, until it registers again.

Cause: rows were compared for the same start only.

Change: a row of an earlier start is older, too.

--- a/entry/registry/era.go
+++ b/entry/registry/era.go
@@ -110,17 +110,20 @@
 	return current
 }
 
-// olderRow reports whether the same incarnation of a server wrote a row before the known one, or
-// that one itself if orSame is true. It is false for servers that don't state when they started,
-// which may have begun to count anew.
+// olderRow reports whether a server, or an earlier start of it, wrote a row before the known one,
+// or that one itself if orSame is true. It is false for servers that don't state when they
+// started, which may have begun to count anew.
 func (r *Registry) olderRow(row, known platform.StoreRow, orSame bool) bool {
 	server, err := platform.DecodeServer(row.Key, row.Value, r.Regions)
 	if err != nil {
 		return false
 	}
 	knownServer, err := platform.DecodeServer(known.Key, known.Value, r.Regions)
-	if err != nil || server.StartUnixMS == 0 || server.Incarnation() != knownServer.Incarnation() {
+	switch {
+	case err != nil || server.StartUnixMS == 0 || knownServer.StartUnixMS == 0:
 		return false
+	case server.StartUnixMS != knownServer.StartUnixMS:
+		return server.StartUnixMS < knownServer.StartUnixMS
 	}
 	return server.Sequence < knownServer.Sequence || orSame && server.Sequence == knownServer.Sequence
 }
--- a/entry/registry/era_test.go
+++ b/entry/registry/era_test.go
@@ -143,22 +143,24 @@
 }
 
 // TestOlderRegistrationsTakeNothingBack guards against requests to servers that are draining or
-// have left, because the store came back from a copy in which they are ready. A server that
-// lives is used again although its row in the copy is older than its removal, and one that started
-// again counts from the start.
+// have left, because the store came back from a copy in which they are ready, and to servers that
+// have just started as if they were the start before, which was warm. A server that lives is used
+// again although its row in the copy is older than its removal, and one that started again counts
+// from the start.
 func TestOlderRegistrationsTakeNothingBack(t *testing.T) {
 	for _, kind := range outagesOfDrills {
 		for _, drills := range []int{1, 2} {
 			t.Run(fmt.Sprintf("%s, %d drills", kind.name, drills), func(t *testing.T) {
 				testRegistry(t, func(t *testing.T, r *recordingRegistry) {
 					r.runWithTwoServers()
-					for _, id := range []string{"draining", "left", "expired", "restarted"} {
+					for _, id := range []string{"draining", "left", "expired", "restarted", "started"} {
 						r.putIncarnation(id, "ready", 1, 1000)
 					}
 					copied := r.store.TakeCopy()
 					time.Sleep(2 * time.Second)
 					r.putIncarnation("draining", "draining", 5, 1000)
 					r.putIncarnation("restarted", "ready", 5, 1000)
+					r.putIncarnation("started", "ready", 1, 3000)
 					r.store.RemoveRow(platform.ServerTable, "left")
 					r.store.RemoveRow(platform.ServerTable, "expired")
 					time.Sleep(3 * time.Second)
@@ -169,6 +171,7 @@
 						assert.Assert(t, !registered)
 						registered, _, _ = r.serverState("restarted")
 						assert.Assert(t, registered)
+						assert.Equal(t, r.serverStart("started"), int64(3000))
 					}
 					check()
 					for range drills {
@@ -180,6 +183,7 @@
 					r.putIncarnation("draining", "draining", 6, 1000)
 					r.store.RemoveRow(platform.ServerTable, "left")
 					r.putIncarnation("restarted", "ready", 1, 2000)
+					r.putIncarnation("started", "ready", 2, 3000)
 					time.Sleep(r.MaxLag() + pollPause + callBound)
 					check()
 					assert.Equal(t, r.serverStart("restarted"), int64(2000))
