routing: an escaped slash ends no prefix

Cause: routes are matched with the decoded path. Where a safe route lies below an unsafe one, an escaped slash makes a request of the unsafe one a request of the safe one, with its kind, service and attempts.

Change: paths and prefixes are compared with the escapes of reserved characters left in place. Other escapes are decoded, as RFC 3986 has it, so what matched before with an escaped letter still does. The same holds for what pipelining may start early.

--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -183,7 +183,7 @@
 		return req, refused
 	}
 	req.maxBodyBytes = conf.Limits.MaxBodyBytes
-	req.route = conf.MatchRoute(incoming.Host, incoming.URL.Path)
+	req.route = conf.MatchRoute(incoming.Host, incoming.URL.EscapedPath())
 	if req.route == nil {
 		return req, &refusal{
 			status: http.StatusNotFound,
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -215,8 +216,10 @@
 		// connection.
 		response string
 		method   string
-		servers  []string
-		status   int
+		// path is /browse/1 for GET and /book/1 otherwise if it is "".
+		path    string
+		servers []string
+		status  int
 		// attempts is how many times all servers together receive the request.
 		attempts int
 		// retryAfter reports whether the response has a Retry-After header.
@@ -263,6 +266,14 @@
 			status:   http.StatusBadGateway,
 			attempts: 1,
 		},
+		{
+			name:     "lost response to a request that runs once, on a path with an escaped slash",
+			method:   http.MethodPost,
+			path:     "/book/state%2F1",
+			servers:  []string{"a", "b"},
+			status:   http.StatusBadGateway,
+			attempts: 1,
+		},
 		{
 			name:     "lost responses to a repeatable request",
 			method:   http.MethodGet,
@@ -294,6 +305,7 @@
 			if test.method == http.MethodGet {
 				path = "/browse/1"
 			}
+			path = cmp.Or(test.path, path)
 			withHarness(t, write, test.servers, func(t *testing.T, h *harness) {
 				response, aborted := h.send(newRequest(test.method, path, "r1", "x"))
 				assert.Assert(t, !aborted)
--- a/entry/gateway/harness_test.go
+++ b/entry/gateway/harness_test.go
@@ -78,6 +78,7 @@
 	}, []*routing.Route{
 		testRoute("browse", "/browse/", routing.Idempotent),
 		testRoute("book", "/book/", routing.NonIdempotent),
+		testRoute("state", "/book/state/", routing.Idempotent),
 	})
 	fleet := placement.New("north", func() (int, int) { return 0, 1 })
 	fleet.Configure(conf)
--- a/entry/platform_node.go
+++ b/entry/platform_node.go
@@ -306,7 +306,7 @@
 	if conf == nil {
 		return false
 	}
-	route := conf.MatchRoute(request.Host, request.URL.Path)
+	route := conf.MatchRoute(request.Host, request.URL.EscapedPath())
 	return route != nil && route.Kind == routing.Idempotent
 }
 
--- a/entry/platform_node_test.go
+++ b/entry/platform_node_test.go
@@ -1,7 +1,10 @@
 package main
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -35,3 +38,22 @@
 		assert.Equal(t, registrationPollInterval(test.drainBound, test.roundTrip), test.want)
 	}
 }
+
+// TestEscapedSlashIsNotIdempotent guards against a request that is started early on its connection
+// as if it could be repeated: its path has an escaped slash behind the prefix of a safe route.
+func TestEscapedSlashIsNotIdempotent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newPlatformSite(t, &platformSite{
+			regions: 3,
+			slots:   3,
+		}, 1, 1)
+		for target, want := range map[string]bool{
+			"/browse/1":   true,
+			"/browse%2F1": false,
+		} {
+			request := httptest.NewRequest(http.MethodGet, target, http.NoBody)
+			request.Host = "desk.example"
+			assert.Equal(t, s.nodes[0].idempotent(request), want, target)
+		}
+	})
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -5,6 +5,7 @@
 package routing
 
 import (
+	"encoding/hex"
 	"net"
 	"slices"
 	"strings"
@@ -111,17 +112,23 @@
 	Limits   Limits
 	// routesByHost contains the routes of each host, in order of decreasing prefix
 	// length. The keys are the hosts' names in lower case.
-	routesByHost map[string][]*Route
+	routesByHost map[string][]matchedRoute
 	routeCount   int
 }
 
+// matchedRoute is a route with its prefix as MatchRoute compares it.
+type matchedRoute struct {
+	*Route
+	prefix string
+}
+
 // NewConfiguration returns a configuration with an index of the routes by host.
 func NewConfiguration(version uint64, services []*Service, limits Limits, routes []*Route) *Configuration {
 	conf := &Configuration{
 		Version:      version,
 		Services:     make(map[string]*Service, len(services)),
 		Limits:       limits,
-		routesByHost: make(map[string][]*Route),
+		routesByHost: make(map[string][]matchedRoute),
 		routeCount:   len(routes),
 	}
 	for _, service := range services {
@@ -129,29 +136,65 @@
 	}
 	for _, route := range routes {
 		host := strings.ToLower(route.Host)
-		conf.routesByHost[host] = append(conf.routesByHost[host], route)
+		conf.routesByHost[host] = append(conf.routesByHost[host], matchedRoute{
+			Route:  route,
+			prefix: normalizePath(route.Prefix),
+		})
 	}
 	for _, routes := range conf.routesByHost {
-		slices.SortFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+		slices.SortFunc(routes, func(a, b matchedRoute) int { return len(b.prefix) - len(a.prefix) })
 	}
 	return conf
 }
 
 // MatchRoute returns the route of a host whose prefix is the longest that matches
 // the path, or nil if no route matches. A port in the host and the host's case are
-// ignored.
-func (c *Configuration) MatchRoute(host, path string) *Route {
+// ignored. The path is escaped as in the request: an escaped slash, for example, is part of a
+// segment and ends no prefix.
+func (c *Configuration) MatchRoute(host, escapedPath string) *Route {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
 	}
+	path := normalizePath(escapedPath)
 	for _, route := range c.routesByHost[strings.ToLower(host)] {
-		if strings.HasPrefix(path, route.Prefix) {
-			return route
+		if strings.HasPrefix(path, route.prefix) {
+			return route.Route
 		}
 	}
 	return nil
 }
 
+// reservedCharacters are those that mean something else escaped than not, according to RFC 3986,
+// section 2.2, and the percent sign.
+const reservedCharacters = ":/?#[]@!$&'()*+,;=%"
+
+// normalizePath returns a path in which only reservedCharacters are escaped, with upper-case
+// digits. Paths that are equivalent according to RFC 3986, section 6.2.2, become the same.
+func normalizePath(path string) string {
+	if !strings.Contains(path, "%") {
+		return path
+	}
+	var normalized strings.Builder
+	for i := 0; i < len(path); i++ {
+		if path[i] != '%' || i+2 >= len(path) {
+			normalized.WriteByte(path[i])
+			continue
+		}
+		decoded, err := hex.DecodeString(path[i+1 : i+3])
+		switch {
+		case err != nil:
+			normalized.WriteByte(path[i])
+			continue
+		case strings.IndexByte(reservedCharacters, decoded[0]) >= 0:
+			normalized.WriteString(strings.ToUpper(path[i : i+3]))
+		default:
+			normalized.WriteByte(decoded[0])
+		}
+		i += 2
+	}
+	return normalized.String()
+}
+
 // RouteCount returns the number of routes of all hosts.
 func (c *Configuration) RouteCount() int { return c.routeCount }
 
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -9,7 +9,8 @@
 )
 
 // TestMatchRoute checks that the longest prefix wins, and that the case and port of
-// the host are ignored.
+// the host are ignored. An escaped slash guards against a request that may run once and is taken
+// for one of the safe route below its own.
 func TestMatchRoute(t *testing.T) {
 	var routes []*routing.Route
 	for _, each := range []struct{ host, prefix string }{
@@ -17,6 +18,11 @@
 		{"a.example", "/long/"},
 		{"a.example", "/long/er/"},
 		{"b.example", "/only/"},
+		{"d.example", "/book/"},
+		{"d.example", "/book/state/"},
+		{"d.example", "/caf%C3%A9/"},
+		{"d.example", "/caf\u00e9s/"},
+		{"d.example", "/a%2fb/"},
 	} {
 		routes = append(routes, &routing.Route{
 			Name:   each.host + each.prefix,
@@ -32,6 +38,18 @@
 		{"b.example", "/only/", "b.example/only/"},
 		{"b.example", "/only", ""},
 		{"c.example", "/", ""},
+		{"d.example", "/book/state/2f", "d.example/book/state/"},
+		{"d.example", "/book/state%2F2f", "d.example/book/"},
+		{"d.example", "/book/state%2f2f", "d.example/book/"},
+		{"d.example", "/book%2Fstate/2f", ""},
+		{"d.example", "/book/state%252F2f", "d.example/book/"},
+		{"d.example", "/book/state%", "d.example/book/"},
+		{"d.example", "/book/%zz/", "d.example/book/"},
+		{"d.example", "/%62ook/st%61te/2f", "d.example/book/state/"},
+		{"d.example", "/caf%c3%a9/x", "d.example/caf%C3%A9/"},
+		{"d.example", "/caf%C3%A9s/x", "d.example/caf\u00e9s/"},
+		{"d.example", "/a%2Fb/x", "d.example/a%2fb/"},
+		{"d.example", "/a/b/x", ""},
 	} {
 		got := ""
 		if route := conf.MatchRoute(test.host, test.path); route != nil {
