entry/gateway: an early response ends the upload that it responds to

Cause: before net/http writes the header of a response, it reads and drops up to 256 KiB of the request's body, while the sender of a long body reads from it, too.

Change: before the response is written, the sending is stopped: nothing that is read of the body from then on is sent. The connection to the server stays open until the response is delivered, and is then closed, as before.

--- a/entry/gateway/forward.go
+++ b/entry/gateway/forward.go
@@ -460,6 +460,9 @@
 func (g *Gateway) writeResponse(w http.ResponseWriter, req *proxyRequest, result *attempt) {
 	response := result.response
 	defer response.Release()
+	// A server may respond before it has read the whole body. Before the http.Server writes the
+	// header of a response, it reads and drops what has arrived of the body.
+	response.StopSending()
 	if result.reason == outcome.ReasonCrossedAnswer {
 		req.failureReason = result.reason
 		g.refuse(w, req, refusalFor(req))
--- a/entry/gateway/rawrequest_test.go
+++ b/entry/gateway/rawrequest_test.go
@@ -1,11 +1,16 @@
 package gateway_test
 
 import (
+	"bufio"
 	"bytes"
+	"context"
+	"fmt"
 	"io"
 	"log"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -173,3 +178,82 @@
 	}
 	return false
 }
+
+// TestEarlyResponseToUpload guards against a server that gets a body with a hole: it responds before
+// it has read the whole body and reads on, while the http.Server drops a part of the body.
+func TestEarlyResponseToUpload(t *testing.T) {
+	body := make([]byte, 700_000)
+	for i := range body {
+		body[i] = byte(rand.IntN(256))
+	}
+	var chunked bytes.Buffer
+	for part := range slices.Chunk(body, 10_000) {
+		fmt.Fprintf(&chunked, "%x\r\n%s\r\n", len(part), part)
+	}
+	for name, content := range map[string]string{
+		"with a length": fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body),
+		"in chunks":     "Transfer-Encoding: chunked\r\n\r\n" + chunked.String() + "0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			// The http.Server and the sender of the body wait for each other with a mutex, which
+			// stops the clock of a synctest bubble.
+			h := newHarness(t, respondOK, "a")
+			var group sync.WaitGroup
+			received := make(chan []byte, 1)
+			h.gateway.Pool.Dial = func(context.Context, string) (net.Conn, error) {
+				entryConn, serverConn := net.Pipe()
+				group.Go(func() { received <- readAfterEarlyResponse(serverConn) })
+				return entryConn, nil
+			}
+			listener := &pipeListener{
+				conns: make(chan net.Conn, 1),
+				done:  make(chan struct{}),
+			}
+			server := &http.Server{
+				Handler: h.gateway,
+			}
+			group.Go(func() { _ = server.Serve(listener) })
+			callerConn, entryConn := net.Pipe()
+			listener.conns <- entryConn
+			group.Go(func() {
+				for part := range slices.Chunk([]byte("POST /book/1"+versionAndHeader+content), 1000) {
+					if _, err := callerConn.Write(part); err != nil {
+						return
+					}
+				}
+			})
+			response, err := http.ReadResponse(bufio.NewReader(callerConn), nil)
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, http.StatusUnprocessableEntity)
+			_, err = io.Copy(io.Discard, response.Body)
+			assert.NilError(t, err)
+			got := <-received
+			assert.Assert(t, len(got) >= earlyResponseAt && bytes.HasPrefix(body, got), "%d bytes that are not the beginning of the body", len(got))
+			assert.NilError(t, callerConn.Close())
+			assert.NilError(t, server.Close())
+			group.Wait()
+			h.close()
+		})
+	}
+}
+
+// earlyResponseAt is how much readAfterEarlyResponse reads of a body before it responds.
+const earlyResponseAt = 530_000
+
+// readAfterEarlyResponse reads a request, responds once it has read a part of the body, and reads
+// on. It returns what it got of the body.
+func readAfterEarlyResponse(conn net.Conn) []byte {
+	defer conn.Close()
+	request, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return nil
+	}
+	var got bytes.Buffer
+	if _, err := io.CopyN(&got, request.Body, earlyResponseAt); err != nil {
+		return got.Bytes()
+	}
+	_, _ = io.WriteString(conn, "HTTP/1.1 422 Unprocessable Entity\r\nX-Id: r1\r\nX-Stamp: s\r\nContent-Length: 5000\r\n\r\n"+strings.Repeat("x", 5000))
+	// The error says that the connection was closed before the end of the body.
+	_, _ = io.Copy(&got, request.Body)
+	return got.Bytes()
+}
--- a/entry/upstream/upstream.go
+++ b/entry/upstream/upstream.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -132,6 +133,10 @@
 	Remainder io.Reader
 	// reserved is the memory reserved for Prefix.
 	reserved int64
+	// StopSending ends the sending of a request body of which the server has not received all:
+	// nothing that is read of the body from now on is sent. It must be called before anything
+	// else reads the body.
+	StopSending func()
 	// ConnectTime is the time taken to open the connection; 0 if it was reused.
 	ConnectTime time.Duration
 	// Release returns the connection to the pool, or closes it if it can't be reused.
@@ -202,16 +207,20 @@
 	var sending sync.WaitGroup
 	var sendErr error
 	sendDone := make(chan struct{}) // closed when sending has succeeded or failed
+	body := &stoppableBody{
+		ReadCloser: request.Body,
+	}
 	send := func() {
 		defer close(sendDone)
 		if sendErr = request.Write(conn.writer); sendErr == nil {
 			sendErr = conn.writer.Flush()
 		}
-		if sendErr != nil && !errors.Is(sendErr, syscall.EPIPE) && !errors.Is(sendErr, syscall.ECONNRESET) {
+		if sendErr != nil && !body.stopped.Load() && !errors.Is(sendErr, syscall.EPIPE) && !errors.Is(sendErr, syscall.ECONNRESET) {
 			// The request can't be completed, so the server may never respond. Closing
 			// the connection ends the read of the response that runs meanwhile for a
 			// large body. After EPIPE or ECONNRESET the connection stays open: a server
-			// that stopped reading may have responded already.
+			// that stopped reading may have responded already. So it does if the server
+			// has responded and sending was stopped for that.
 			conn.discard()
 		}
 	}
@@ -225,6 +234,7 @@
 			}
 		}
 	} else {
+		request.Body = body
 		sending.Go(send)
 	}
 	httpResponse, stray, failure := p.readResponse(conn, request, id)
@@ -246,6 +256,7 @@
 			Err:        errors.Wrap(err, "read answer"),
 		}
 	}
+	response.StopSending = func() { body.stopped.Store(true) }
 	response.Release = func() {
 		fullySent := false
 		select {
@@ -264,6 +275,28 @@
 	return response, nil
 }
 
+// stoppableBody is a request body whose reading can be stopped.
+type stoppableBody struct {
+	io.ReadCloser
+	stopped atomic.Bool
+}
+
+// errSendingStopped is the error of reading a stoppableBody that is stopped.
+var errSendingStopped = errors.New("sending the request was stopped")
+
+// Read implements io.Reader. What is read while the body is stopped is dropped, since something
+// else may have read what comes before it.
+func (b *stoppableBody) Read(p []byte) (int, error) {
+	if b.stopped.Load() {
+		return 0, errSendingStopped
+	}
+	count, err := b.ReadCloser.Read(p)
+	if b.stopped.Load() {
+		return 0, errSendingStopped
+	}
+	return count, err
+}
+
 // readResponse reads up to maxResponsesRead responses until it finds the one with the
 // request's ID. stray reports whether one of another request came before it.
 func (p *Pool) readResponse(conn *pooledConn, request *http.Request, id string) (response *http.Response, stray bool, failure *Failure) {
