--- a/entry/pipeline/pipeline_test.go
+++ b/entry/pipeline/pipeline_test.go
@@ -717,3 +717,26 @@
 		})
 	}
 }
+
+// TestTrailerKeepsConnectionWhileServed guards against a connection that is closed to make room for
+// others while its request runs, because the body has a trailer or chunk extensions: such a
+// connection seemed to wait for its caller, and took the memory of the largest header.
+func TestTrailerKeepsConnectionWhileServed(t *testing.T) {
+	const header = "POST /effect/1000/a HTTP/1.1\r\nHost: desk.example\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for _, body := range []string{
+		"5\r\noffer\r\n0\r\nX-Trailer: 1\r\n\r\n",
+		"5;name=value\r\noffer\r\n0;last\r\n\r\n",
+	} {
+		withHarness(t, func(t *testing.T, h *harness) {
+			for range 2 {
+				h.send(header + body)
+				time.Sleep(500 * time.Millisecond)
+				assert.Assert(t, h.handler.Budget.Held() < 8<<10, "%d bytes are held for %q", h.handler.Budget.Held(), body)
+				assert.Assert(t, !h.handler.Budget.Evict(), "the connection waits for its caller with %q", body)
+				received, err := h.receive(http.MethodPost)
+				assert.NilError(t, err)
+				assert.Equal(t, received.body, "POST /effect/1000/a \"offer\" <nil>")
+			}
+		})
+	}
+}
