entry/pipeline: an empty line in place of a request line is answered at once

Seen by FuzzPipeline on the input "\n": without pipelining the caller gets 400, with it nothing until the time-out for headers.

Cause: only an empty line behind another line ended what is handed to the http.Server.

Change: an empty first line does, too.

Test: the seeds "\n" and "\r\n" of FuzzPipeline, which fail without the change.

--- a/entry/pipeline/request.go
+++ b/entry/pipeline/request.go
@@ -79,8 +79,14 @@
 }
 
 // headerEnd returns the position behind the first empty line of a header, or 0 if there is
-// none. The first known bytes are known not to complete such a line.
+// none. The first known bytes are known not to complete such a line. In place of a request line, an
+// empty one ends what http.Server reads of a request.
 func headerEnd(header []byte, known int) int {
+	for _, empty := range []string{"\n", "\r\n"} {
+		if bytes.HasPrefix(header, []byte(empty)) {
+			return len(empty)
+		}
+	}
 	for i := max(0, known-2); i < len(header); i++ {
 		if header[i] != '\n' {
 			continue
