entry/pipeline: fuzz bodies in chunks against http.Server

FuzzChunkedBodies compares which requests run with a body in chunks in front of them, with pipelining and without.

--- a/entry/pipeline/fuzz_test.go
+++ b/entry/pipeline/fuzz_test.go
@@ -84,6 +84,40 @@
 	})
 }
 
+// FuzzChunkedBodies sends arbitrary bytes as a body in chunks, in pieces, with a request behind it, to
+// an http.Server with pipelining and to one without. Both must find the same end of the body: the
+// same requests run, and the first one gets the same response.
+func FuzzChunkedBodies(f *testing.F) {
+	for _, body := range []string{
+		"5\r\noffer\r\n0\r\n\r\n",
+		"5;a=b\r\noffer\r\n0;c\r\nX: 1\r\nY: 2\r\n\r\n",
+		"0\r\nX: 1\n\r\n",
+		"0\r\nX: 1\n\n" + get("/effect/20/smuggled"),
+		"5;a=\"\r\n\"\r\noffer\r\n0\r\n\r\n",
+	} {
+		for _, piece := range []uint16{0, 1, 7} {
+			f.Add([]byte(body), piece)
+		}
+	}
+	f.Fuzz(func(t *testing.T, body []byte, piece uint16) {
+		if len(body) > 6<<10 {
+			t.Skip()
+		}
+		data := slices.Concat([]byte("POST /effect/20/q HTTP/1.1\r\nHost: desk.example\r\nTransfer-Encoding: chunked\r\n\r\n"), body, []byte(get("/effect/20/s")))
+		var first [2]string
+		var ran [2][]string
+		for i, pipelined := range []bool{true, false} {
+			synctest.Test(t, func(*testing.T) {
+				responses, targets := exchangeBytes(newHarness(pipelined), data, int(piece))
+				first[i], _, _ = strings.Cut(responses, "\n")
+				ran[i] = targets
+			})
+		}
+		assert.Equal(t, first[0], first[1])
+		assert.DeepEqual(t, ran[0], ran[1])
+	})
+}
+
 // exchangeBytes sends data in pieces of a size, or at once if that is 0. It returns the
 // responses without their headers, and the targets of the requests that ran.
 func exchangeBytes(h *harness, data []byte, piece int) (responses string, ran []string) {
