--- a/review/standin-3/backend.go
+++ b/review/standin-3/backend.go
@@ -31,6 +31,9 @@
 	record *record
 	store  *store
 
+	// group starts goroutines, for which nothing waits.
+	group sync.WaitGroup
+
 	mu         sync.Mutex
 	server     *http.Server
 	born       int64
@@ -69,8 +72,8 @@
 	b.server = server
 	b.mu.Unlock()
 	b.record.line("backend %s started, cold: %v", b.id, cold)
-	go func() { _ = server.Serve(listener) }()
-	go b.beat(server)
+	b.group.Go(func() { _ = server.Serve(listener) })
+	b.group.Go(func() { b.beat(server) })
 	return nil
 }
 
--- a/review/standin-3/deployment.go
+++ b/review/standin-3/deployment.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -28,6 +27,9 @@
 	backends  []*backend
 	entries   []*entry
 
+	// group starts goroutines, for which nothing waits.
+	group sync.WaitGroup
+
 	mu sync.Mutex
 	// counts holds the answers of the clients by status.
 	counts map[string]int
@@ -38,7 +40,7 @@
 	name    string
 	ip      string
 	zone    string
-	command *exec.Cmd
+	process *os.Process
 }
 
 // startPlatform starts the store on free loopback addresses.
@@ -52,7 +54,7 @@
 		d.prefix = fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250))
 		var listener net.Listener
 		if listener, err = net.Listen("tcp4", d.prefix+".200:8169"); err == nil {
-			go func() { _ = http.Serve(listener, d.store) }()
+			d.group.Go(func() { _ = http.Serve(listener, d.store) })
 			return nil
 		}
 	}
@@ -120,10 +122,15 @@
 	if err != nil {
 		return err
 	}
-	e.command = exec.Command("target/entry", "--platform")
-	e.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "TEASELSTACK_NODE_FILE=" + settings}
-	e.command.Stdout, e.command.Stderr = output, output
-	if err := e.command.Start(); err != nil {
+	input, err := os.Open(os.DevNull)
+	if err != nil {
+		return err
+	}
+	e.process, err = os.StartProcess("target/entry", []string{"target/entry", "--platform"}, &os.ProcAttr{
+		Env:   []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "TEASELSTACK_NODE_FILE=" + settings},
+		Files: []*os.File{input, output, output},
+	})
+	if err != nil {
 		return err
 	}
 	d.entries = append(d.entries, e)
@@ -152,8 +159,8 @@
 // stop ends the processes that the case has started.
 func (d *deployment) stop() {
 	for _, e := range d.entries {
-		_ = e.command.Process.Kill()
-		_ = e.command.Wait()
+		_ = e.process.Kill()
+		_, _ = e.process.Wait()
 	}
 	if d.directory != "" && os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(d.directory)
