review: requests that a partition holds up run after their answer

Requests that entries have given up and answered with 504 are delivered by the system 3 s after the cut and run, bookings among them. The other cases are renumbered by gravity.

--- a/review/11/run.sh
+++ b/review/13/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 plays the same with sound backends. Exit codes: 1 broken, 0 held, 2 could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/entry ] && [ -x target/standin-3 ] || exit 2
-TROUBLE="${TROUBLE:-1}" target/standin-3 refused review/11/record.txt
+TROUBLE="${TROUBLE:-1}" target/standin-3 refused review/13/record.txt
