--- a/review/standin-3/refused.go
+++ b/review/standin-3/refused.go
@@ -14,7 +14,7 @@
 	// of such backends among allBackends.
 	greyShare    = 0.45
 	greyBackends = 1
-	allBackends  = 7
+	allBackends  = 8
 	// bookings is the number of bookings that the clients make.
 	bookings = 400
 )
--- a/review/standin-3/restart.go
+++ b/review/standin-3/restart.go
@@ -12,7 +12,9 @@
 	coldOvershoot = 1.5
 	coldSlack     = 5.0
 	// requestsPerSecond is the rate of the clients of each entry.
-	requestsPerSecond = 75
+	requestsPerSecond = 200
+	// restartBackends is the number of backends, of which one crashes: 0.125, where the site has 0.14.
+	restartBackends = 8
 	// downTime is how long the backend is down.
 	downTime = 2200 * time.Millisecond
 	// outage is how long the store does not answer.
@@ -31,7 +33,8 @@
 		return false, err
 	}
 	d.publish(browseRoute)
-	for _, zone := range []string{"bud-a", "deb-b", "bud-a"} {
+	for number := range restartBackends {
+		zone := []string{"bud-a", "deb-b"}[number%2]
 		if err := d.startBackend(zone, func(*backend) {}); err != nil {
 			return false, err
 		}
