--- /dev/null
+++ b/entry/gateway/classify.go
@@ -0,0 +1,104 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/go-faster/errors"
+
+	"github.com/teaselstack/teaselstack/entry/placement"
+	"github.com/teaselstack/teaselstack/entry/quarantine"
+	"github.com/teaselstack/teaselstack/entry/upstream"
+	"github.com/teaselstack/teaselstack/outcome"
+	"github.com/teaselstack/teaselstack/routing"
+)
+
+// classifyResponse derives from a response the health signal, the reason, and whether
+// the request may have run. A response with a Content-Encoding, or a success without
+// the server's stamp, counts as the response to another request.
+func (g *Gateway) classifyResponse(result *attempt, report *placement.LoadReport) {
+	response := result.response
+	switch {
+	case response.Header.Get(g.HeaderNames.NotExecuted) != "" || response.StatusCode == http.StatusMisdirectedRequest:
+		result.signal, result.reason = classifyRejection(response.StatusCode, report)
+	case response.Header.Get("Content-Encoding") != "",
+		response.Header.Get(g.HeaderNames.ResponseStamp) == "" && response.StatusCode < http.StatusMultipleChoices:
+		result.mayHaveRun = true
+		result.signal = placement.SignalBroken
+		result.reason = outcome.ReasonCrossedAnswer
+	default:
+		result.mayHaveRun = true
+		if response.StatusCode >= http.StatusInternalServerError && response.StatusCode != http.StatusGatewayTimeout {
+			result.signal = placement.SignalBroken
+		}
+	}
+}
+
+// classifyRejection derives the health signal and the reason from a response by which
+// a server says that it did not run the request.
+func classifyRejection(status int, report *placement.LoadReport) (placement.HealthSignal, outcome.Reason) {
+	switch {
+	case status == http.StatusMisdirectedRequest:
+		return placement.SignalReplaced, outcome.ReasonServerReplaced
+	case report == nil || report.Running >= report.Slots:
+		return placement.SignalFull, outcome.ReasonServerFull
+	}
+	return placement.SignalShed, outcome.ReasonShed
+}
+
+// classifyFailure derives from the failure of an attempt the health signal, the reason,
+// and whether the request may have run. It reports a connection that broke during the
+// exchange, and a request without an answer, to the quarantine.
+func (g *Gateway) classifyFailure(ctx context.Context, req *proxyRequest, result *attempt) {
+	failure := result.failure
+	switch {
+	case failure.NoConnection:
+		result.reason = outcome.ReasonConnectFailed
+		result.signal = placement.SignalNoConnection
+		if errors.Is(failure.Err, upstream.ErrServerNotEligible) {
+			result.reason = outcome.ReasonServerLeaving
+			result.signal = placement.SignalNone
+		}
+		if ctx.Err() != nil {
+			result.signal = placement.SignalNone
+		}
+		return
+	case ctx.Err() != nil:
+		result.reason = g.endReason(req)
+		result.signal = placement.SignalNone
+		if result.reason != outcome.ReasonStopping {
+			g.recordUnanswered(req, &result.choice.Server)
+		}
+	case req.body.readError() != nil:
+		result.reason = outcome.ReasonBodyBroken
+		result.signal = placement.SignalNone
+	case failure.ResponseMismatch:
+		result.reason = outcome.ReasonCrossedAnswer
+		result.signal = placement.SignalBroken
+	default:
+		result.reason = outcome.ReasonConnectionBroken
+		result.signal = placement.SignalBroken
+	}
+	if failure.ConnBroken && result.signal == placement.SignalBroken {
+		g.Quarantine.RecordRunFailure(req.run(&result.choice.Server))
+	}
+	result.mayHaveRun = true
+}
+
+// run describes a run of the request on a server to the quarantine.
+func (r *proxyRequest) run(server *routing.Server) quarantine.Run {
+	return quarantine.Run{
+		Request:       r.identity,
+		Service:       r.service,
+		Server:        incarnationKey(server),
+		FailureDomain: server.FailureDomain,
+	}
+}
+
+// recordUnanswered reports to the quarantine that a server did not answer a request in time.
+func (g *Gateway) recordUnanswered(req *proxyRequest, server *routing.Server) {
+	incarnation := server.Incarnation()
+	g.Quarantine.RecordUnanswered(req.run(server), func() bool {
+		return g.Fleet.Registered(incarnation)
+	})
+}
