entry/gateway: a server's status alone is no promise that a request has not run

Cause: 408, 421, 429 and 503 are promises on the way to the caller, but not on the way from a server, which states by its own header or by 421 that a request has not run. The entry obeyed that for its own retries and then passed the status on. Trace of a booking: sent to i-0, answered status=503 sends=1, and the same booking again 1 ms later under another ID, sent to i-2. No line said whether the server had made the statement.

Change: a response with such a status and without the statement is not passed on. What may run more than once is sent again within its attempts and the budget, else the caller gets 502 without the server's stamp and Retry-After. The lost line says unconfirmed-refusal, and a metric counts these responses.

Ruled out: a second send by the entry (each ID ran once), a promise of the entry's own.

Test: TestPromiseOfServerThatMayHaveRun, for 408, 429 and 503, with and without stamp, Retry-After and the statement; before: "408 (response.Code int) != 502".

--- a/entry/gateway/classify.go
+++ b/entry/gateway/classify.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"github.com/go-faster/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/teaselstack/teaselstack/entry/placement"
 	"github.com/teaselstack/teaselstack/entry/quarantine"
@@ -19,7 +20,7 @@
 func (g *Gateway) classifyResponse(result *attempt, report *placement.LoadReport) {
 	response := result.response
 	switch {
-	case response.Header.Get(g.HeaderNames.NotExecuted) != "" || response.StatusCode == http.StatusMisdirectedRequest:
+	case g.statesNotRun(response.Response):
 		result.signal, result.reason = classifyRejection(response.StatusCode, report)
 	case response.Header.Get("Content-Encoding") != "",
 		response.Header.Get(g.HeaderNames.ResponseStamp) == "" && response.StatusCode < http.StatusMultipleChoices:
@@ -31,7 +32,27 @@
 		if response.StatusCode >= http.StatusInternalServerError && response.StatusCode != http.StatusGatewayTimeout {
 			result.signal = placement.SignalBroken
 		}
+		if meansNotRun(response.StatusCode) {
+			result.reason = outcome.ReasonUnconfirmedRefusal
+			metrics.GetOrRegisterCounter("unconfirmed-refusals."+result.choice.Server.Service, g.Metrics).Inc(1)
+		}
+	}
+}
+
+// statesNotRun reports whether a server states in a response that it has not run the request.
+func (g *Gateway) statesNotRun(response *http.Response) bool {
+	return response.Header.Get(g.HeaderNames.NotExecuted) != "" || response.StatusCode == http.StatusMisdirectedRequest
+}
+
+// meansNotRun reports whether callers take a status to mean that their request has not run and never
+// will. A server's response with such a status does not state that by itself, see statesNotRun, so
+// it must not reach the caller.
+func meansNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
 	}
+	return false
 }
 
 // classifyRejection derives the health signal and the reason from a response by which
--- a/entry/gateway/forward.go
+++ b/entry/gateway/forward.go
@@ -365,15 +365,17 @@
 const callerRetryFraction = 0.97
 
 // writeResponse writes a server's response to the caller, or a refusal in place of a
-// response that may belong to another request. If the status is below 500, it reports the
-// success to the quarantine once the server has sent the whole response.
+// response that may belong to another request, or whose status says what the server does not
+// state. If the status is below 500, it reports the success to the quarantine once the server has
+// sent the whole response.
 func (g *Gateway) writeResponse(w http.ResponseWriter, req *proxyRequest, result *attempt) {
 	response := result.response
 	defer response.Release()
 	// A server may respond before it has read the whole body. Before the http.Server writes the
 	// header of a response, it reads and drops what has arrived of the body.
 	response.StopSending()
-	if result.reason == outcome.ReasonCrossedAnswer {
+	if result.reason == outcome.ReasonCrossedAnswer || result.reason == outcome.ReasonUnconfirmedRefusal {
+		g.logFailedAttempt(req, result, false)
 		req.failureReason = result.reason
 		g.refuse(w, req, refusalFor(req))
 		return
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -317,6 +317,43 @@
 	}
 }
 
+// TestPromiseOfServerThatMayHaveRun guards against callers that are told that a request has not run,
+// because a server answers a request that it has run with such a status: without the header that
+// says so, with or without a stamp, a Retry-After or the whole body of the request. A statement that
+// the request has not run still reaches them as one.
+func TestPromiseOfServerThatMayHaveRun(t *testing.T) {
+	promises := []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+	for _, path := range []string{"/book/1", "/browse/1"} {
+		for _, status := range promises {
+			for _, extra := range []string{"", "X-Stamp: s\r\n", "X-Stamp: s\r\nRetry-After: 1\r\n", "X-Not-Executed: 1\r\n", "X-Not-Executed: 1\r\nRetry-After: 1\r\n"} {
+				notRun := strings.HasPrefix(extra, "X-Not-Executed")
+				respond := func(h *harness, _ string, conn net.Conn, request *http.Request) bool {
+					if !notRun {
+						h.recordRun(request)
+					}
+					_, err := fmt.Fprintf(conn, "HTTP/1.1 %d %s\r\nX-Id: r1\r\n%sContent-Length: 4\r\n\r\nbusy", status, http.StatusText(status), extra)
+					return err == nil
+				}
+				withHarness(t, respond, []string{"a", "b", "c"}, func(t *testing.T, h *harness) {
+					response, aborted := h.send(newRequest(http.MethodPost, path, "r1", "x"))
+					assert.Assert(t, !aborted)
+					if notRun {
+						assert.Equal(t, response.Code, http.StatusServiceUnavailable, "%d %q", status, extra)
+						assert.Assert(t, response.Header().Get("Retry-After") != "")
+						return
+					}
+					assert.Equal(t, response.Code, http.StatusBadGateway, "%s %d %q", path, status, extra)
+					assert.Equal(t, response.Header().Get("Retry-After"), "")
+					assert.Equal(t, response.Header().Get(headerNames.ResponseStamp), "")
+					if path == "/book/1" {
+						assert.Equal(t, h.runCount("r1"), 1)
+					}
+				})
+			}
+		}
+	}
+}
+
 // TestRequestLimits checks the status of the responses to requests that no route
 // matches or that exceed a size limit.
 func TestRequestLimits(t *testing.T) {
--- a/entry/gateway/loglines_test.go
+++ b/entry/gateway/loglines_test.go
@@ -54,6 +54,15 @@
 				return err == nil
 			},
 		},
+		"unconfirmed-refusal": {
+			method:  http.MethodPost,
+			path:    "/book/1",
+			servers: []string{"a", "b"},
+			handler: func(_ *harness, _ string, conn net.Conn, _ *http.Request) bool {
+				_, err := io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Id: r1\r\nX-Stamp: s\r\nContent-Length: 0\r\n\r\n")
+				return err == nil
+			},
+		},
 		"unconnected": {
 			method: http.MethodPost,
 			path:   "/book/1",
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -102,6 +102,9 @@
 	// ReasonServerFailed: the backend server responded to an idempotent request with a
 	// 5xx status other than 504.
 	ReasonServerFailed Reason = "server-failed"
+	// ReasonUnconfirmedRefusal: the backend server responded with a status by which an entry says
+	// that a request has not run, but did not state that.
+	ReasonUnconfirmedRefusal Reason = "unconfirmed-refusal"
 	// ReasonServerFull: the backend server refused the request. All its slots were in
 	// use, or it did not report how many were.
 	ReasonServerFull Reason = "server-full"
