entry/gateway: a refusal whose body breaks off still says "not run"

Seen in a test: a server refuses a booking with its header, or with 421, and breaks off the body of that response. The caller gets 502, which promises nothing, and the booking is not made.

Cause: a failure while the body is read dropped the header that had been read before, so the request counted as one that may have run.

Change: the failure of an exchange keeps that response, and its statement counts as that of a whole one: the request is sent to another server, or refused as not run.

Test: TestStatementOutlivesCutBody; before: "502 (response.Code int) != 503". Only a response with the request's ID counts, as before (TestRepeatedRefusalIsNotForwarded).

--- a/entry/gateway/classify.go
+++ b/entry/gateway/classify.go
@@ -69,9 +69,15 @@
 
 // classifyFailure derives from the failure of an attempt the health signal, the reason,
 // and whether the request may have run. It reports a connection that broke during the
-// exchange, and a request without an answer, to the quarantine.
+// exchange, and a request without an answer, to the quarantine. A response whose body broke off
+// still says whether the request has run.
 func (g *Gateway) classifyFailure(ctx context.Context, req *proxyRequest, result *attempt) {
 	failure := result.failure
+	if failure.Truncated != nil && g.statesNotRun(failure.Truncated) {
+		// The header was complete, and the body adds nothing to what it states.
+		result.signal, result.reason = classifyRejection(failure.Truncated.StatusCode, nil)
+		return
+	}
 	switch {
 	case failure.NoConnection:
 		result.reason = outcome.ReasonConnectFailed
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -354,6 +354,34 @@
 	}
 }
 
+// TestStatementOutlivesCutBody guards against a request that fails although no server has run it,
+// because a server's statement that says so comes with a body that breaks off.
+func TestStatementOutlivesCutBody(t *testing.T) {
+	for _, head := range []string{"503 Service Unavailable\r\nX-Not-Executed: 1", "421 Misdirected Request"} {
+		for _, framing := range []string{"Content-Length: 9\r\n\r\nbusy", "Transfer-Encoding: chunked\r\n\r\n4\r\nbusy\r\n"} {
+			for _, servers := range [][]string{{"a"}, {"a", "b"}} {
+				refused := 0
+				refuseOnce := func(h *harness, server string, conn net.Conn, request *http.Request) bool {
+					if refused++; refused > 1 {
+						return respondOK(h, server, conn, request)
+					}
+					io.WriteString(conn, "HTTP/1.1 "+head+"\r\nX-Id: r1\r\n"+framing)
+					return false
+				}
+				withHarness(t, refuseOnce, servers, func(t *testing.T, h *harness) {
+					response, aborted := h.send(newRequest(http.MethodPost, "/book/1", "r1", "x"))
+					assert.Assert(t, !aborted)
+					want := http.StatusOK
+					if len(servers) == 1 {
+						want = http.StatusServiceUnavailable
+					}
+					assert.Equal(t, response.Code, want, "%s, %s", head, framing)
+				})
+			}
+		}
+	}
+}
+
 // TestRequestLimits checks the status of the responses to requests that no route
 // matches or that exceed a size limit.
 func TestRequestLimits(t *testing.T) {
--- a/entry/upstream/upstream.go
+++ b/entry/upstream/upstream.go
@@ -114,6 +114,9 @@
 	ConnBroken bool
 	// ConnReused says that the connection had served another request before.
 	ConnReused bool
+	// Truncated is the response with the request's ID if its header was complete and its body broke
+	// off. Its body must not be read.
+	Truncated *http.Response
 	// Err is the cause.
 	Err error
 }
@@ -253,6 +256,7 @@
 		return nil, &Failure{
 			MaybeSent:  true,
 			ConnBroken: true,
+			Truncated:  httpResponse,
 			Err:        errors.Wrap(err, "read answer"),
 		}
 	}
