entry/gateway: an upload that stalls after a part of it was sent is not refused with 408

Seen in a test: a caller sends 600,000 of 700,000 bytes and stalls until its deadline. A server has got the first part, and the caller is told 408, which promises that nothing has run and nothing will.

Cause: the status of a body that can't be read did not depend on whether an attempt had passed a part of it on.

Change: it is 504 then. A body that stalls before anything was sent is still answered 408, and one that breaks off otherwise 400 or 413, which promise nothing.

Test: TestStalledUploadIsNoPromise; before: "408 (response.Code int) != 504 (want int): 600000 bytes before the stall".

--- a/entry/gateway/forward.go
+++ b/entry/gateway/forward.go
@@ -215,7 +215,12 @@
 		return
 	}
 	if err := req.body.readError(); err != nil {
-		g.refuse(w, req, *bodyRefusal(err))
+		refused := *bodyRefusal(err)
+		if req.mayHaveRun && meansNotRun(refused.status) {
+			// A server has got a part of the body.
+			refused.status = http.StatusGatewayTimeout
+		}
+		g.refuse(w, req, refused)
 		return
 	}
 	g.refuse(w, req, refusalFor(req))
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -7,8 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
@@ -382,6 +384,25 @@
 	}
 }
 
+// TestStalledUploadIsNoPromise guards against a caller that is told by 408 that its upload has not
+// run, although a server has got a part of it before the caller stalled.
+func TestStalledUploadIsNoPromise(t *testing.T) {
+	for _, sent := range []int{100, 600_000} {
+		withHarness(t, respondOK, []string{"a"}, func(t *testing.T, h *harness) {
+			request := newRequest(http.MethodPost, "/book/1", "r1", "")
+			request.ContentLength = 700_000
+			request.Body = io.NopCloser(io.MultiReader(strings.NewReader(strings.Repeat("x", sent)), iotest.ErrReader(os.ErrDeadlineExceeded)))
+			response, aborted := h.send(request)
+			assert.Assert(t, !aborted)
+			want := http.StatusRequestTimeout
+			if sent > 512<<10 {
+				want = http.StatusGatewayTimeout
+			}
+			assert.Equal(t, response.Code, want, "%d bytes before the stall", sent)
+		})
+	}
+}
+
 // TestRequestLimits checks the status of the responses to requests that no route
 // matches or that exceed a size limit.
 func TestRequestLimits(t *testing.T) {
