entry/dispatch: a server's response doesn't state the outcome of its request

Seen in a test on the own interface: a server that has run a request responds with a header Teasel-Outcome: not-run. The caller of the first request gets done, that of a repeat with the same key gets not-run, from any entry.

Cause: the headers that entries set were not removed from servers' responses. The first response overwrites the outcome, a stored one is copied over it.

Change: they are removed when the response arrives. What a peer states stays.

Test: TestServersDoNotStateOutcomes; before: "request 1 with own-key: not-run (got.outcome string) != done", and the server's reason with request 0.

--- a/entry/dispatch/cluster_test.go
+++ b/entry/dispatch/cluster_test.go
@@ -472,6 +472,7 @@
 //   - "crossed" responds with the ID of another request
 //   - "short" responds with a truncated body
 //   - "unframed" responds without a length or chunks
+//   - "states-outcome" responds with the headers by which an entry says that a request has not run
 //   - "repeated-refusal" sends an earlier refusal, without an ID, before it responds, if the
 //     connection has carried a request before
 func (s *backendServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -503,6 +504,9 @@
 		w.Header().Set(header.RequestID, "another")
 	case "short":
 		w.Header().Set("Content-Length", "1000")
+	case "states-outcome":
+		w.Header().Set(header.Outcome, "not-run")
+		w.Header().Set(header.Reason, "shed")
 	case "repeated-refusal":
 		connection, buffered, err := http.NewResponseController(w).Hijack()
 		if err == nil {
--- a/entry/dispatch/forward.go
+++ b/entry/dispatch/forward.go
@@ -163,6 +163,7 @@
 		_, bodyErr := req.closeBody(body)
 		return d.forwardFailure(ctx, req, server, trace.phase(), err, bodyErr)
 	}
+	header.StripEntry(response.Header)
 	if rejection := checkResponse(req, server, response, trace.reused.Load()); rejection != nil {
 		req.closeBody(body)
 		closeIgnoringError(response.Body)
--- a/entry/dispatch/outcome_test.go
+++ b/entry/dispatch/outcome_test.go
@@ -222,6 +222,25 @@
 	})
 }
 
+// TestServersDoNotStateOutcomes guards against a caller that is told that its request has not run,
+// because a server's response to that request contains the headers by which entries say so.
+func TestServersDoNotStateOutcomes(t *testing.T) {
+	withCluster(t, func(c *cluster) {
+		for _, requestKey := range []string{"own-key", c.entry("entry-2").register.IssueTicket()} {
+			for i := range 2 * entryCount {
+				got := c.send(callerRequest{
+					entry: fmt.Sprintf("entry-%d", i%entryCount),
+					key:   requestKey,
+					query: "fault=states-outcome",
+				})
+				assert.Equal(t, got.outcome, "done", "request %d with %s", i, requestKey)
+				assert.Equal(t, got.reason, "")
+			}
+			assert.Equal(t, c.runsOfKey(requestKey), 1)
+		}
+	})
+}
+
 // TestRepeatAfterNotRun checks that a request whose outcome is not-run can be sent
 // to another entry with the same key, even after the entry that had claimed the key
 // was replaced.
--- a/header/header.go
+++ b/header/header.go
@@ -76,6 +76,13 @@
 	InternalClaimed = InternalPrefix + "Claimed"
 )
 
+// StripEntry removes the headers that only entries set in responses to callers.
+func StripEntry(headers http.Header) {
+	for _, name := range []string{Outcome, Reason, RetryAt, Replayed} {
+		headers.Del(name)
+	}
+}
+
 // hopByHopHeaders are the hop-by-hop headers according to RFC 9110 section 7.6.1 and
 // its predecessor, RFC 2616 section 13.5.1.
 var hopByHopHeaders = []string{
