entry: a server that may have started again gets few requests until it is verified

Cause: a registration names one start of a server, and an entry took whatever answers at the address for that start. Trace: all requests in flight at i-0 lost with "unexpected EOF", "connection refused" twice, and three seconds later sent server=i-0 registration=34 registrations-age-ms=3637, not cold, 36 times in a second from two entries. With the store answering the limit of cold servers held (4 a second), so that was not at fault; no line said what the entry took the process for.

Change: connections tell processes apart. A sign (refused, broken, closed before the stated time-out, silent until the deadline, seen by another entry, or nothing known for longer than the undisturbed window) makes a server unverified. Requests go on to it on connections from before; a new connection takes a turn at a cold server. A response on such a connection ends that, or the server's health path on a new connection, or registrations known as of two seconds after it was reached, or the time of a cold start. Entries tell each other signs and health. Back from an evacuation, servers are asked at once, too, which ends the wait for their registrations. Lines server belief=unverified and health-check, metrics servers_unverified and health_checks.

Stand-ins of tests answer the health path. TestServersBackFromEvacuationAreNotFlooded says there, too, that its servers are cold, as their registrations did; it is as strict as before.

Tests: TestRestartedServersAreNotFlooded, 20 cases (4 ways to fail, 5 states of the store; one server, one of each region, all of a region). With all servers taken for verified 6 fail: 13 to 31 requests in a second where 12.5 are allowed, and one that got none later.

--- a/entry/evacuation_test.go
+++ b/entry/evacuation_test.go
@@ -54,6 +54,9 @@
 		time.Sleep(4500 * time.Millisecond)
 		s.store.SetFault(store.Fault{})
 		time.Sleep(300 * time.Millisecond)
+		for _, index := range []int{0, 3} {
+			s.server(index).setCold(registered + 7*time.Second)
+		}
 		s.store.RemoveRow(platform.OperatorTable, evacuation)
 		returned = time.Now()
 		time.Sleep(registered)
--- a/entry/gateway/classify.go
+++ b/entry/gateway/classify.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/rcrowley/go-metrics"
@@ -82,9 +83,13 @@
 	case failure.NoConnection:
 		result.reason = outcome.ReasonConnectFailed
 		result.signal = placement.SignalNoConnection
-		if errors.Is(failure.Err, upstream.ErrServerNotEligible) {
+		switch {
+		case errors.Is(failure.Err, upstream.ErrServerNotEligible):
 			result.reason = outcome.ReasonServerLeaving
 			result.signal = placement.SignalNone
+		case errors.Is(failure.Err, upstream.ErrServerUnverified):
+			result.reason = outcome.ReasonServerUnverified
+			result.signal = placement.SignalNone
 		}
 		if ctx.Err() != nil {
 			result.signal = placement.SignalNone
@@ -112,6 +117,24 @@
 	result.mayHaveRun = true
 }
 
+// minSilence is how long a request must have been without a response to show that its server may have
+// ended.
+const minSilence = 500 * time.Millisecond
+
+// observeSign reports to the fleet if the failure of an attempt that began at a time shows that the
+// server may have started again.
+func (g *Gateway) observeSign(result *attempt, began time.Time) {
+	server := &result.choice.Server
+	switch {
+	case result.signal == placement.SignalNoConnection:
+		g.Fleet.SuspectRestart(server, placement.SignRefused, began, time.Time{})
+	case result.failure.ConnBroken && result.signal == placement.SignalBroken:
+		g.Fleet.SuspectRestart(server, placement.SignBroken, time.Now(), result.failure.OpenedAt)
+	case result.reason == outcome.ReasonDeadline && time.Since(began) >= minSilence:
+		g.Fleet.SuspectRestart(server, placement.SignSilent, began, result.failure.OpenedAt)
+	}
+}
+
 // run describes a run of the request on a server to the quarantine.
 func (r *proxyRequest) run(server *routing.Server) quarantine.Run {
 	return quarantine.Run{
--- a/entry/gateway/forward.go
+++ b/entry/gateway/forward.go
@@ -245,14 +245,20 @@
 	}
 	defer release()
 	g.addDecision(g.infoLine(req, "sent"), req, &choice).Msg("")
-	result.response, result.failure = g.Pool.Exchange(ctx, &choice.Server, g.upstreamRequest(req, &choice.Server), req.id)
+	var options []upstream.Option
+	if choice.Cold {
+		options = append(options, upstream.ToAnyProcess())
+	}
+	result.response, result.failure = g.Pool.Exchange(ctx, &choice.Server, g.upstreamRequest(req, &choice.Server), req.id, options...)
 	var report *placement.LoadReport
 	if result.response != nil {
+		g.Fleet.ObserveAnswer(&choice.Server, result.response.OpenedAt, result.response.SentAt)
 		report = parseLoadReport(result.response.Header.Get(g.HeaderNames.Load))
 		g.classifyResponse(&result, report)
 		g.observeStatement(&result)
 	} else {
 		g.classifyFailure(ctx, req, &result)
+		g.observeSign(&result, started)
 	}
 	latency := time.Since(started)
 	if result.response != nil && result.response.ConnectTime > 0 {
--- a/entry/gateway/refusal.go
+++ b/entry/gateway/refusal.go
@@ -140,6 +140,7 @@
 	case errors.Is(remainder.err, os.ErrDeadlineExceeded):
 		g.recordUnanswered(req, server)
 	default:
+		g.Fleet.SuspectRestart(server, placement.SignBroken, time.Now(), response.OpenedAt)
 		g.Quarantine.RecordRunFailure(req.run(server))
 	}
 	g.warnLine(req, "broken-off").Str("failure", err.Error()).
--- a/entry/placement/cold.go
+++ b/entry/placement/cold.go
@@ -12,11 +12,14 @@
 
 // cold reports whether a server is cold, or may be without this entry knowing.
 func (f *Fleet) cold(server *serverRecord, now time.Time) bool {
-	if now.Before(server.coldUntil) {
-		return true
-	}
-	_, returning := f.returning[server.FailureDomain]
-	return returning
+	return now.Before(server.coldUntil) || f.awaitsRegistration(server)
+}
+
+// awaitsRegistration reports whether a server is back from an evacuation and neither its
+// registration nor its health has shown since whether it is cold.
+func (f *Fleet) awaitsRegistration(server *serverRecord) bool {
+	settled, returning := f.returning[server.FailureDomain]
+	return returning && server.verification.healthAt.Before(settled.Add(-registrationSettleTime))
 }
 
 // ConfirmRegistrations records that the registrations passed to Update so far are those at a
@@ -24,6 +27,7 @@
 func (f *Fleet) ConfirmRegistrations(at time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.confirmRegistrations(at)
 	for domain, settled := range f.returning {
 		if !at.Before(settled) {
 			delete(f.returning, domain)
@@ -31,12 +35,9 @@
 	}
 }
 
-// withinColdRateLimit reports whether the rate limit of cold servers lets this entry
-// send a server a request now. It always does for a server that is not cold.
-func (f *Fleet) withinColdRateLimit(server *serverRecord, now time.Time) bool {
-	if !f.cold(server, now) {
-		return true
-	}
+// hasTurn reports whether the rate limit of cold servers lets this entry send a server a
+// request now.
+func (f *Fleet) hasTurn(server *serverRecord, now time.Time) bool {
 	turn, open := f.coldTurn(server, now)
 	return open && turn != server.lastColdTurn
 }
--- a/entry/placement/fleet_test.go
+++ b/entry/placement/fleet_test.go
@@ -355,3 +355,43 @@
 		assert.Assert(t, fleet.Eligible(&server), "late %t", late)
 	}
 }
+
+// TestEntriesShareSignsAndHealth checks that an entry which saw no sign itself limits new connections
+// to a server that may have started again, and that one entry's health check is enough for all.
+func TestEntriesShareSignsAndHealth(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := newTestServer("server-0")
+		witness, other := newTestFleet(server), newTestFleet(server)
+		exchange := func() {
+			message := &teaselv1.Presence{
+				Name: "entry-1",
+			}
+			witness.FillPresence(message)
+			other.ApplyPresence(message)
+		}
+		time.Sleep(time.Second)
+		witness.SuspectRestart(&server, placement.SignBroken, time.Now(), time.Time{})
+		time.Sleep(200 * time.Millisecond)
+		exchange()
+		assert.Equal(t, other.Summary().Unverified, 1)
+		_, before := other.UsableConnections(&server)
+		assert.Assert(t, !before.IsZero())
+		// The same report must not start the doubt anew once a connection from before has ended it.
+		other.ObserveAnswer(&server, before.Add(-time.Second), time.Now())
+		assert.Equal(t, other.Summary().Unverified, 0)
+		time.Sleep(200 * time.Millisecond)
+		exchange()
+		assert.Equal(t, other.Summary().Unverified, 0)
+		time.Sleep(time.Second)
+		witness.ObserveHealth(&server, time.Now(), routing.Health{
+			ServerID:  "server-0",
+			ColdKnown: true,
+			ColdLeft:  3 * time.Second,
+		})
+		time.Sleep(200 * time.Millisecond)
+		exchange()
+		assert.Equal(t, other.Summary().Cold, 1)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, other.Summary().Cold, 0)
+	})
+}
--- a/entry/placement/peerreports.go
+++ b/entry/placement/peerreports.go
@@ -78,7 +78,8 @@
 
 // FillPresence adds this entry's report to a message for its peers: the number of its
 // requests in flight at each server, the servers that fail its requests, the limits that
-// servers state, and the servers that state that they are shutting down.
+// servers state, the servers that state that they are shutting down, and those that may have
+// started again or were verified.
 func (f *Fleet) FillPresence(message *teaselv1.Presence) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -94,6 +95,7 @@
 	}
 	f.fillLimits(message, now)
 	f.fillLeaving(message, now)
+	f.fillVerification(message, now)
 }
 
 // wireHash returns the truncated hash that identifies the server in presence
@@ -115,4 +117,5 @@
 	f.peerReports.replace(message.GetName(), report)
 	f.applyLimits(message, report.receivedAt)
 	f.applyLeaving(message, report.receivedAt)
+	f.applyVerification(message, report.receivedAt)
 }
--- a/entry/placement/placement.go
+++ b/entry/placement/placement.go
@@ -45,6 +45,14 @@
 	// returning holds the failure domains whose evacuation has ended while it isn't known which
 	// of their servers are cold, with the time from which registrations say so.
 	returning map[string]time.Time
+	// registrationsAt is the time as of which the registrations are known, and
+	// registrationsCompleteAt that as of which none was missing because of an outage of the store.
+	// They are complete again from registrationsSettleAt on.
+	registrationsAt         time.Time
+	registrationsCompleteAt time.Time
+	registrationsSettleAt   time.Time
+	// checksChanged receives a value when a check of a server's health is scheduled.
+	checksChanged chan struct{}
 	// serviceSettings is keyed by the name of the service.
 	serviceSettings map[string]*routing.Service
 	// serviceTimes is keyed by the name of the route.
@@ -82,6 +90,9 @@
 	StateFailing ServerState = "failing"
 	// StateDoubtful is a server that may be gone, see [Fleet.SetDoubtful].
 	StateDoubtful ServerState = "doubtful"
+	// StateUnverified is a server at whose address another process than the registered one may
+	// run.
+	StateUnverified ServerState = "unverified"
 	// StateWaiting is a server that wants no request from this entry for some time.
 	StateWaiting ServerState = "waiting"
 )
@@ -92,6 +103,9 @@
 	failureDomain string
 	// coldRateLimit is set by WithColdRateLimit.
 	coldRateLimit func() (factor, slack float64)
+	// registrationLag is set by WithRegistrationLag, and connected by WithConnections.
+	registrationLag func() time.Duration
+	connected       func(incarnation routing.Incarnation, from, before time.Time) bool
 	// entryName and servingEntries are set by WithEntries.
 	entryName      string
 	servingEntries func() []Entry
@@ -118,6 +132,19 @@
 	return func(o *options) { o.coldRateLimit = limit }
 }
 
+// WithRegistrationLag sets how old the registrations may be until servers that answer no requests
+// may have started again unnoticed. By default, or if the function returns 0, they may not.
+func WithRegistrationLag(lag func() time.Duration) Option {
+	return func(o *options) { o.registrationLag = lag }
+}
+
+// WithConnections sets the function that reports whether there is an idle connection to a server
+// that was opened at a time or later, and before another one. By default there is none. The function
+// must not call the fleet, whose lock is held.
+func WithConnections(connected func(incarnation routing.Incarnation, from, before time.Time) bool) Option {
+	return func(o *options) { o.connected = connected }
+}
+
 // WithEntries sets the name of this entry and how to get all entries that serve callers, this
 // one included if it does. By default there is this entry only. The function must not call
 // the fleet, whose lock is held.
@@ -132,7 +159,9 @@
 		EntryPosition: entryPosition,
 		startedAt:     time.Now(),
 		options: options{
-			coldRateLimit: func() (factor, slack float64) { return 1, 0 },
+			coldRateLimit:   func() (factor, slack float64) { return 1, 0 },
+			registrationLag: func() time.Duration { return 0 },
+			connected:       func(routing.Incarnation, time.Time, time.Time) bool { return false },
 			servingEntries: func() []Entry {
 				return []Entry{
 					{
@@ -154,6 +183,7 @@
 		byWireHash:      make(map[uint32]*serverRecord),
 		departed:        make(map[routing.Incarnation]departedServer),
 		peerDemands:     make(map[string]*peerDemand),
+		checksChanged:   make(chan struct{}, 1),
 	}
 	for _, option := range opts {
 		option(&fleet.options)
@@ -198,6 +228,8 @@
 	doubtful bool
 	limit    statedLimit
 	leaving  statedLeaving
+	// verification says which process runs at the server's address.
+	verification verification
 	// waitUntil is when the server, which refused a request, wants requests of this entry again.
 	waitUntil time.Time
 }
@@ -237,7 +269,8 @@
 	LoadAge time.Duration
 	// RegistrationAge is how long ago this entry read the server's registration.
 	RegistrationAge time.Duration
-	// Cold reports whether the server has recently started and is still slow.
+	// Cold reports whether the server has recently started and is still slow, or may have and is
+	// reached on a new connection. The request uses this entry's turn at the server.
 	Cold bool
 	// Slowdown is the ratio of the server's service times to the expected ones, at
 	// least 1.
@@ -288,7 +321,7 @@
 	if len(ranked) == 0 {
 		return Choice{}, RefusalNoServer
 	}
-	best, bestLatency := -1, time.Duration(0)
+	best, bestLatency, bestTurn := -1, time.Duration(0), false
 	candidates := candidateFilter{
 		fleet: f,
 	}
@@ -296,7 +329,11 @@
 		if now.Before(server.waitUntil) {
 			continue
 		}
-		if !candidates.wants(server) || f.load(server, now) >= maxLoad*float64(server.Slots) || !f.withinColdRateLimit(server, now) {
+		if !candidates.wants(server) || f.load(server, now) >= maxLoad*float64(server.Slots) {
+			continue
+		}
+		turn := f.takesTurn(server, now)
+		if turn && !f.hasTurn(server, now) {
 			continue
 		}
 		if server.limit.limited && candidates.count == 0 {
@@ -307,7 +344,7 @@
 		}
 		latency := f.expectedLatency(request, server, rank, now)
 		if best < 0 || latency < bestLatency {
-			best, bestLatency = rank, latency
+			best, bestLatency, bestTurn = rank, latency, turn
 		}
 		candidates.add(server)
 		if candidates.complete() {
@@ -321,12 +358,13 @@
 		}, RefusalNoRoom
 	}
 	choice := f.newChoice(ranked[best], best, now)
+	choice.Cold = bestTurn
 	choice.ExpectedLatency = bestLatency
 	choice.Congestion = congestion
 	if !f.admits(request, ranked[best], bestLatency, congestion, now) && !f.admitsTrial(request, ranked[best], bestLatency, now) {
 		return choice, RefusalNoRoom
 	}
-	f.reserve(ranked[best], now)
+	f.reserve(ranked[best], bestTurn, now)
 	choice.serviceTime = f.expectedServiceTime(request)
 	if server := ranked[best]; server.inFlight == 1 || server.silentSince.IsZero() {
 		server.silentSince, server.silenceLimit = now, silenceFactor*bestLatency
@@ -374,7 +412,6 @@
 		Rank:            rank,
 		Load:            f.load(server, now),
 		RegistrationAge: now.Sub(server.registeredAt),
-		Cold:            f.cold(server, now),
 		Slowdown:        server.slowdownNow(now),
 	}
 	if !server.othersLoadAt.IsZero() {
@@ -383,10 +420,10 @@
 	return choice
 }
 
-// reserve counts a request as in flight at a server. If the server is cold, the
-// request uses up this entry's turn, and if it states a limit, a token.
-func (f *Fleet) reserve(server *serverRecord, now time.Time) {
-	if f.cold(server, now) {
+// reserve counts a request as in flight at a server. It may use up this entry's turn at a
+// cold server, and if the server states a limit, it uses up a token.
+func (f *Fleet) reserve(server *serverRecord, turn bool, now time.Time) {
+	if turn {
 		server.lastColdTurn, _ = f.coldTurn(server, now)
 	}
 	if server.limit.limited {
--- a/entry/placement/summary.go
+++ b/entry/placement/summary.go
@@ -19,6 +19,9 @@
 	Limited int
 	Leaving int
 	Waiting int
+	// Unverified counts the servers at whose addresses other processes than the registered ones may
+	// run.
+	Unverified int
 	// InFlight is the number of this entry's requests in flight at all servers.
 	InFlight int
 }
@@ -50,6 +53,9 @@
 		if now.Before(server.waitUntil) {
 			sum.Waiting++
 		}
+		if !server.verification.since.IsZero() {
+			sum.Unverified++
+		}
 	}
 	return sum
 }
--- a/entry/placement/update.go
+++ b/entry/placement/update.go
@@ -18,14 +18,16 @@
 }
 
 // SetEvacuated sets the evacuated failure domains, whose servers get no requests. Servers become
-// cold in an evacuation. Those of a domain that is no longer evacuated count as cold until
-// ConfirmRegistrations is called with a time from which registrations say which of them are.
+// cold in an evacuation. Those of a domain that is no longer evacuated count as cold until they say
+// themselves which of them are, or ConfirmRegistrations is called with a time from which
+// registrations do.
 func (f *Fleet) SetEvacuated(domains map[string]bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for domain := range f.evacuated {
 		if !domains[domain] {
 			f.returning[domain] = time.Now().Add(registrationSettleTime)
+			f.checkDomain(domain)
 		}
 	}
 	for domain := range domains {
@@ -65,6 +67,9 @@
 	record.Server, record.registeredAt = *registration, now
 	if newIncarnation {
 		f.rejoin(record, now)
+		if !f.registrationsAt.IsZero() {
+			record.verification.verifiedAt = now
+		}
 	}
 	if registration.ColdLeft > 0 {
 		record.coldUntil = now.Add(registration.ColdLeft)
--- a/entry/platform_metrics.go
+++ b/entry/platform_metrics.go
@@ -29,14 +29,15 @@
 	registerGauge("requests.pipelined", n.pipeline.Started)
 	// The gauges of servers count all known backend servers, those that are failing,
 	// those that are cold because they recently started, those that state a limit, that they
-	// are shutting down or that they want no request for some time, and this entry's requests
-	// in flight at all of them.
+	// are shutting down or that they want no request for some time, those that may have started
+	// again, and this entry's requests in flight at all of them.
 	registerGauge("servers.known", func() int64 { return int64(n.fleet.Summary().Known) })
 	registerGauge("servers.failing", func() int64 { return int64(n.fleet.Summary().Failing) })
 	registerGauge("servers.cold", func() int64 { return int64(n.fleet.Summary().Cold) })
 	registerGauge("servers.limited", func() int64 { return int64(n.fleet.Summary().Limited) })
 	registerGauge("servers.leaving", func() int64 { return int64(n.fleet.Summary().Leaving) })
 	registerGauge("servers.waiting", func() int64 { return int64(n.fleet.Summary().Waiting) })
+	registerGauge("servers.unverified", func() int64 { return int64(n.fleet.Summary().Unverified) })
 	registerGauge("servers.in-flight", func() int64 { return int64(n.fleet.Summary().InFlight) })
 	// entries.known is at least the number of failure domains plus one, also while fewer
 	// entries are known; see entryPosition. entries.serving counts the entries that
--- a/entry/platform_node.go
+++ b/entry/platform_node.go
@@ -141,6 +141,10 @@
 	n.fleet = placement.New(settings.Region, n.entryPosition,
 		placement.WithFailureDomain(settings.FailureDomain),
 		placement.WithEntries(settings.Name, n.servingEntries),
+		placement.WithRegistrationLag(n.maxConfirmationAge),
+		placement.WithConnections(func(incarnation routing.Incarnation, from, before time.Time) bool {
+			return n.pool.Connected(incarnation, from, before)
+		}),
 		placement.WithColdRateLimit(func() (factor, slack float64) {
 			bounds := n.settings.Load().Bounds
 			return bounds.ColdFactor, bounds.ColdSlack
@@ -155,8 +159,13 @@
 		HeaderNames:      platform.HeaderNames,
 		MaxIdlePerServer: n.maxIdlePerServer,
 		Eligible:         n.fleet.Eligible,
-		MaxIdleTotal:     n.maxIdleTotal,
-		Dial:             newKeepAliveDialer(keepAliveDialTimeout).dial,
+		Usable:           n.fleet.UsableConnections,
+		OnOpened:         n.fleet.ObserveConnection,
+		OnClosed: func(server *routing.Server, openedAt time.Time) {
+			n.fleet.SuspectRestart(server, placement.SignClosed, time.Now(), openedAt)
+		},
+		MaxIdleTotal: n.maxIdleTotal,
+		Dial:         newKeepAliveDialer(keepAliveDialTimeout).dial,
 	}
 	n.registry = &registry.Registry{
 		OperatorStore: n.newStore(),
@@ -399,6 +408,7 @@
 	group.Go(func() { n.registry.Run(background) })
 	group.Go(func() { n.tracker.Run(background, open.peers) })
 	group.Go(func() { n.trials.run(background) })
+	group.Go(func() { n.checkServers(background) })
 	group.Go(func() { n.closeStaleConns(background) })
 	group.Go(func() { n.watchSettings(background, reloadSignals) })
 	callerServer := n.connections.newServer(n.pipeline)
--- a/entry/platform_shutdown_test.go
+++ b/entry/platform_shutdown_test.go
@@ -140,6 +140,12 @@
 		if err != nil {
 			return
 		}
+		if request.URL.Path == "/healthz" {
+			if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: i-0\r\nContent-Length: 0\r\n\r\n", platform.HeaderNames.InstanceID); err != nil {
+				return
+			}
+			continue
+		}
 		id := request.Header.Get(platform.HeaderNames.RequestID)
 		e.mu.Lock()
 		sent := e.sent[id]
--- a/entry/platform_site_test.go
+++ b/entry/platform_site_test.go
@@ -120,6 +120,7 @@
 	var group sync.WaitGroup
 	group.Go(func() { n.tracker.Run(ctx, conn) })
 	group.Go(func() { n.trials.run(ctx) })
+	group.Go(func() { n.checkServers(ctx) })
 	if len(s.servers) > 0 {
 		group.Go(func() { n.registry.Run(ctx) })
 	}
@@ -172,7 +173,11 @@
 			message.InFlight = append(message.InFlight, 1)
 		}
 	}
-	n.pool.Dial = func(_ context.Context, address string) (net.Conn, error) { return s.dial(index, address) }
+	n.pool.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, keepAliveDialTimeout)
+		defer cancel()
+		return s.dial(ctx, index, address)
+	}
 	return n, s.network.open(net.JoinHostPort(ip, "7720"))
 }
 
@@ -195,18 +200,22 @@
 }
 
 // dial connects an entry to the server with an address.
-func (s *platformSite) dial(entry int, address string) (net.Conn, error) {
+func (s *platformSite) dial(ctx context.Context, entry int, address string) (net.Conn, error) {
 	server := s.servers[address]
 	if server == nil {
 		return nil, errors.Errorf("no server at %s", address)
 	}
+	if err := server.awaitAccept(ctx); err != nil {
+		return nil, err
+	}
 	entryConn, serverConn := net.Pipe()
 	s.mu.Lock()
 	s.serverConns = append(s.serverConns, serverConn)
 	s.mu.Unlock()
+	start := server.accept(serverConn)
 	s.group.Go(func() {
 		defer serverConn.Close()
-		server.serve(entry, serverConn)
+		server.serve(entry, start, serverConn)
 	})
 	return entryConn, nil
 }
@@ -274,6 +283,17 @@
 	told map[int]time.Time
 	// arrivals holds the requests in the order of their arrival.
 	arrivals []siteArrival
+	// starts is the number of processes that have run at the server's address before the present
+	// one, coldUntil the time until which that one is cold, and conns holds the connections to it.
+	starts    int
+	coldUntil time.Time
+	conns     []net.Conn
+	// slowness is how much longer requests take for the time being.
+	slowness time.Duration
+	// down reports whether the server's host refuses connections, and silent whether it
+	// answers nothing at all.
+	down   bool
+	silent bool
 	// crash, if not nil, is called with each request. If it returns true, the server has crashed
 	// while it ran the request.
 	crash func(request *http.Request) bool
@@ -306,6 +326,13 @@
 	s.wait = wait
 }
 
+// work returns how long a request takes.
+func (s *siteServer) work() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.workTime + s.slowness
+}
+
 // refusing reports whether the server refuses requests, and records a refusal to an entry if
 // so.
 func (s *siteServer) refusing(entry int) bool {
@@ -321,14 +348,23 @@
 	return true
 }
 
-// serve responds to the requests on a connection until it breaks.
-func (s *siteServer) serve(entry int, conn net.Conn) {
+// serve responds to the requests on a connection to a process until it breaks.
+func (s *siteServer) serve(entry, start int, conn net.Conn) {
 	reader := bufio.NewReader(conn)
 	for {
 		request, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
+		if !s.awaitProcess(start) {
+			return
+		}
+		if request.URL.Path == "/healthz" {
+			if _, err := io.WriteString(conn, s.healthResponse()); err != nil {
+				return
+			}
+			continue
+		}
 		s.mu.Lock()
 		s.arrivals = append(s.arrivals, siteArrival{
 			at:    time.Now(),
@@ -336,7 +372,10 @@
 		})
 		s.mu.Unlock()
 		if !s.refusing(entry) {
-			time.Sleep(s.workTime)
+			time.Sleep(s.work())
+		}
+		if !s.awaitProcess(start) {
+			return
 		}
 		if s.crash != nil && s.crash(request) {
 			return
--- a/entry/platform_suspects.go
+++ b/entry/platform_suspects.go
@@ -8,11 +8,17 @@
 	"github.com/teaselstack/teaselstack/entry/quarantine"
 )
 
+// maxConfirmationAge returns how long the registrations may stay unconfirmed before the store counts as
+// away.
+func (n *platformNode) maxConfirmationAge() time.Duration {
+	return n.settings.Load().Bounds.StableWindow + confirmationSlack
+}
+
 // confirmServers applies that the registrations known are those at a time. A return of the store
 // from a copy is a gap in them: it brings back those of servers that have ended.
 func (n *platformNode) confirmServers(at time.Time) {
 	n.fleet.ConfirmRegistrations(at)
-	away := at.Sub(n.confirmedAt) > n.settings.Load().Bounds.StableWindow+confirmationSlack
+	away := at.Sub(n.confirmedAt) > n.maxConfirmationAge()
 	if away || n.eras.ChangedAt().After(n.confirmedSince) {
 		n.confirmedSince = at
 	}
--- a/entry/upstream/upstream.go
+++ b/entry/upstream/upstream.go
@@ -11,8 +11,6 @@
 	"math"
 	"net"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -38,6 +36,16 @@
 	// new connection was opened, since the server may have become ineligible meanwhile,
 	// but not for a reused connection. If Eligible is nil, all servers are eligible.
 	Eligible func(server *routing.Server) bool
+	// Usable returns when connections to a server must have been opened for requests to be sent on
+	// them: at a time or later, and before another one unless that is zero. If it isn't, another
+	// process than the registered incarnation may run at the server's address, and requests are not
+	// sent on new connections, see [ToAnyProcess]. If Usable is nil, all connections are usable.
+	Usable func(server *routing.Server) (from, before time.Time)
+	// OnOpened is called when a connection to a server was opened, and OnClosed when an idle one
+	// that was opened at a time turns out to be closed before the time that the server had stated.
+	// Both may be nil.
+	OnOpened func(server *routing.Server)
+	OnClosed func(server *routing.Server, openedAt time.Time)
 	// MaxIdleTotal returns how many idle connections to keep to all servers
 	// together, so that the entry doesn't run out of file descriptors; nil means
 	// no limit.
@@ -88,14 +96,41 @@
 	limit *readLimit
 	// sender is what writer writes to.
 	sender *resetWatcher
-	// expires is the time after which the idle connection may no longer be reused.
+	// openedAt is when the connection was opened.
+	openedAt time.Time
+	// expires is the time after which the idle connection may no longer be reused. stated reports
+	// whether it follows from the server's Keep-Alive timeout.
 	expires time.Time
+	stated  bool
 }
 
 // ErrServerNotEligible is the failure of an exchange whose server was no longer
 // eligible for requests once a connection to it was open. See Pool.Eligible.
 var ErrServerNotEligible = errors.New("server became ineligible for requests while connecting")
 
+// ErrServerUnverified is the failure of an exchange with a server that may have started again, for
+// want of a connection that was opened before. See Pool.Usable.
+var ErrServerUnverified = errors.New("server may have started again")
+
+// Option is an option of an exchange.
+type Option func(*exchangeOptions)
+
+// exchangeOptions holds what Options set.
+type exchangeOptions struct {
+	anyProcess    bool
+	newConnection bool
+}
+
+// ToAnyProcess allows an exchange with whatever process runs at the server's address.
+func ToAnyProcess() Option {
+	return func(o *exchangeOptions) { o.anyProcess = true }
+}
+
+// OnNewConnection makes an exchange use a new connection.
+func OnNewConnection() Option {
+	return func(o *exchangeOptions) { o.newConnection = true }
+}
+
 // Failure is the error of an exchange without a usable response: there was no
 // connection, no response with the request's ID was read, or the body of that response
 // broke off within the first maxPrefixBytes. Exactly one of MaybeSent and NoConnection
@@ -114,6 +149,8 @@
 	ConnBroken bool
 	// ConnReused says that the connection had served another request before.
 	ConnReused bool
+	// OpenedAt is when the connection was opened; zero if there was none.
+	OpenedAt time.Time
 	// Truncated is the response with the request's ID if its header was complete and its body broke
 	// off. Its body must not be read.
 	Truncated *http.Response
@@ -142,6 +179,9 @@
 	StopSending func()
 	// ConnectTime is the time taken to open the connection; 0 if it was reused.
 	ConnectTime time.Duration
+	// OpenedAt is when the connection was opened, and SentAt when the sending of the request began.
+	OpenedAt time.Time
+	SentAt   time.Time
 	// Release returns the connection to the pool, or closes it if it can't be reused.
 	// It must be called exactly once, after the last read of Remainder.
 	Release func()
@@ -152,9 +192,13 @@
 // reads and writes fail and the connection is not reused. The request's body may be
 // read in another goroutine until Exchange returns a failure or Release returns; if
 // the context has ended, that goroutine may outlast Release.
-func (p *Pool) Exchange(ctx context.Context, server *routing.Server, request *http.Request, id string) (*Response, *Failure) {
+func (p *Pool) Exchange(ctx context.Context, server *routing.Server, request *http.Request, id string, opts ...Option) (*Response, *Failure) {
+	var options exchangeOptions
+	for _, option := range opts {
+		option(&options)
+	}
 	started := time.Now()
-	conn, reused, err := p.getConn(ctx, server)
+	conn, reused, err := p.getConn(ctx, server, options)
 	connectTime := time.Since(started)
 	if err != nil {
 		return nil, &Failure{
@@ -162,13 +206,7 @@
 			Err:          err,
 		}
 	}
-	if !reused && p.Eligible != nil && !p.Eligible(server) {
-		conn.discard()
-		return nil, &Failure{
-			NoConnection: true,
-			Err:          ErrServerNotEligible,
-		}
-	}
+	sentAt := time.Now()
 	stop := context.AfterFunc(ctx, func() {
 		// A deadline in the past unblocks pending reads and writes. Exchange or
 		// Release closes the connection after that.
@@ -181,9 +219,10 @@
 		conn.limit.setAccount(nil)
 		stop()
 		conn.discard()
-		failure.ConnReused = reused
+		failure.ConnReused, failure.OpenedAt = reused, conn.openedAt
 		return nil, failure
 	}
+	response.OpenedAt, response.SentAt = conn.openedAt, sentAt
 	if !reused {
 		response.ConnectTime = connectTime
 	}
@@ -337,113 +376,3 @@
 		Err:              errors.New("read answer: none of the responses has the request's ID"),
 	}
 }
-
-// getConn returns an idle connection from the pool, or a new one.
-func (p *Pool) getConn(ctx context.Context, server *routing.Server) (conn *pooledConn, reused bool, err error) {
-	for {
-		idleConn := p.takeIdle(server.Incarnation())
-		if idleConn == nil {
-			break
-		}
-		if isReusable(idleConn.Conn) {
-			return idleConn, true, nil
-		}
-		idleConn.discard()
-	}
-	opened, err := p.Dial(ctx, server.Address)
-	if err != nil {
-		return nil, false, err
-	}
-	limit := &readLimit{
-		conn: opened,
-	}
-	sender := &resetWatcher{
-		conn: opened,
-	}
-	return &pooledConn{
-		Conn:   opened,
-		limit:  limit,
-		sender: sender,
-		reader: bufio.NewReaderSize(limit, 4<<10),
-		writer: bufio.NewWriterSize(sender, 4<<10),
-	}, false, nil
-}
-
-// takeIdle removes and returns the idle connection to a server that was added to the
-// pool last, or nil if there is none. It first closes connections to the server that
-// have expired, starting with the longest idle, up to the first that hasn't expired.
-func (p *Pool) takeIdle(incarnation routing.Incarnation) *pooledConn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	idle := p.idle[incarnation]
-	now := time.Now()
-	for len(idle) > 0 && now.After(idle[0].expires) {
-		idle[0].discard()
-		idle = idle[1:]
-		p.idleCount--
-	}
-	if len(idle) == 0 {
-		delete(p.idle, incarnation)
-		return nil
-	}
-	conn := idle[len(idle)-1]
-	p.idle[incarnation] = idle[:len(idle)-1]
-	p.idleCount--
-	return conn
-}
-
-// putIdle adds a connection to the pool. It closes the connection instead if the pool
-// is full or the Keep-Alive timeout in the response is idleTimeoutMargin or less.
-func (p *Pool) putIdle(server *routing.Server, conn *pooledConn, responseHeader http.Header) {
-	idleTimeout := defaultIdleTimeout
-	for part := range strings.SplitSeq(responseHeader.Get("Keep-Alive"), ",") {
-		if text, found := strings.CutPrefix(strings.TrimSpace(part), "timeout="); found {
-			if seconds, err := strconv.Atoi(text); err == nil {
-				idleTimeout = time.Duration(seconds)*time.Second - idleTimeoutMargin
-			}
-		}
-	}
-	if idleTimeout <= 0 {
-		conn.discard()
-		return
-	}
-	conn.expires = time.Now().Add(idleTimeout)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.idle == nil {
-		p.idle = make(map[routing.Incarnation][]*pooledConn)
-	}
-	incarnation := server.Incarnation()
-	full := p.MaxIdleTotal != nil && p.idleCount >= p.MaxIdleTotal()
-	if full || len(p.idle[incarnation]) >= p.MaxIdlePerServer(server.Service) {
-		conn.discard()
-		return
-	}
-	p.idle[incarnation] = append(p.idle[incarnation], conn)
-	p.idleCount++
-}
-
-// CloseStale closes idle connections that have expired and those to server
-// incarnations for which registered returns false. The function registered must not
-// call the Pool, whose lock is held.
-func (p *Pool) CloseStale(registered func(incarnation routing.Incarnation) bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := time.Now()
-	for incarnation, idle := range p.idle {
-		remaining := idle[:0]
-		for _, conn := range idle {
-			if now.After(conn.expires) || !registered(incarnation) {
-				conn.discard()
-				p.idleCount--
-				continue
-			}
-			remaining = append(remaining, conn)
-		}
-		if len(remaining) == 0 {
-			delete(p.idle, incarnation)
-			continue
-		}
-		p.idle[incarnation] = remaining
-	}
-}
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -111,6 +111,9 @@
 	// ReasonServerLeaving: the backend server may no longer get requests, for example
 	// because it is draining.
 	ReasonServerLeaving Reason = "server-leaving"
+	// ReasonServerUnverified: the backend server may have started again, and there was no connection
+	// to it from before.
+	ReasonServerUnverified Reason = "server-unverified"
 	// ReasonNoRoute: no route matches the host and path of the request.
 	ReasonNoRoute Reason = "no-route"
 	// ReasonServerReplaced: another server runs at the address of the backend server.
--- a/routing/statement.go
+++ b/routing/statement.go
@@ -17,3 +17,13 @@
 	// 0 if it states nothing of the kind.
 	Wait time.Duration
 }
+
+// Health is the response of a backend server to a health check.
+type Health struct {
+	// ServerID is the ID of the server that responded; "" if the response doesn't name one.
+	ServerID string
+	// ColdKnown reports whether the response says how much longer the server is cold, and ColdLeft
+	// is that time.
+	ColdKnown bool
+	ColdLeft  time.Duration
+}
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -347,6 +347,20 @@
 		s.Address, s.Service, s.FailureDomain, s.Slots, s.state, s.sequence, s.startUnixMS))
 }
 
+// HealthPath is the path of health checks.
+const HealthPath = "/healthz"
+
+// serveHealth answers a health check. The server is never cold.
+func (s *Server) serveHealth(w http.ResponseWriter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w.Header().Set(platform.HeaderNames.InstanceID, s.ID)
+	w.Header().Set(platform.HeaderNames.ColdMS, "0")
+	if s.state == "draining" {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
 // serve answers one request. A request for another server gets status 421. One that
 // is not run, because it is not admitted or has no ID or because its deadline passes
 // while it waits, gets 503. One whose deadline passes while it runs gets 504.
@@ -355,6 +369,10 @@
 	id := r.Header.Get(names.RequestID)
 	w.Header().Set(names.RequestID, id)
 	w.Header().Set(names.Load, s.loadHeader())
+	if r.URL.Path == HealthPath {
+		s.serveHealth(w)
+		return
+	}
 	if target := r.Header.Get(names.TargetServer); target != "" && target != s.ID {
 		w.Header().Set(names.InstanceID, s.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
