entry/placement: a new registration of a server renews no turn at it

Cause: this entry's last turn was forgotten with the record of the start before, so an entry that had sent the new process a request in this turn sent it another one.

Change: the last turn is kept, like the count of requests in flight.

--- a/entry/placement/fleet_test.go
+++ b/entry/placement/fleet_test.go
@@ -356,6 +356,29 @@
 	}
 }
 
+// TestRegistrationRenewsNoTurn guards against more requests than a cold server bears: its new start
+// is registered after it has got a request in this entry's turn, and gets another one.
+func TestRegistrationRenewsNoTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cold := newTestServer("server-0")
+		cold.ColdLeft = time.Minute
+		fleet := newTestFleet(cold)
+		for range 30 {
+			sent := 0
+			for start := range 5 {
+				cold.StartUnixMS = int64(start + 1)
+				fleet.Update([]routing.Server{cold})
+				if choice, refusal := fleet.Choose(newRequest(1)); refusal == placement.RefusalNone {
+					sent++
+					fleet.Done(&choice, placement.SignalNone, nil, 0)
+				}
+			}
+			assert.Assert(t, sent <= 1, "%d requests in one turn", sent)
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+}
+
 // TestEntriesShareSignsAndHealth checks that an entry which saw no sign itself limits new connections
 // to a server that may have started again, and that one entry's health check is enough for all.
 func TestEntriesShareSignsAndHealth(t *testing.T) {
--- a/entry/placement/update.go
+++ b/entry/placement/update.go
@@ -48,7 +48,8 @@
 }
 
 // updateServer applies one registration. A new incarnation of a server starts without
-// the observations of the old one, but keeps the count of requests in flight.
+// the observations of the old one, but keeps the count of requests in flight and this entry's last
+// turn.
 func (f *Fleet) updateServer(registration *routing.Server, now time.Time) {
 	record := f.servers[registration.ID]
 	newIncarnation := record == nil || record.Incarnation() != registration.Incarnation()
@@ -58,7 +59,8 @@
 			knownSince: now,
 		}
 		if record != nil {
-			next.inFlight = record.inFlight
+			// The process that is registered now may be the one that got the request of the last turn.
+			next.inFlight, next.lastColdTurn = record.inFlight, record.lastColdTurn
 		}
 		record = next
 		f.servers[registration.ID] = record
