entry/upstream: a closed idle connection is a sign also without a stated time-out

Found by reading: a server that states no time-out for idle connections may start again while no request is in flight. Its closed connections were then taken for a time-out, so the next requests went to the new process on new connections.

Change: they are a sign if a connection to the service has been kept longer before. Servers with a time-out below a second, which can't state it, are not suspected each time that they close one.

--- a/entry/platform_health.go
+++ b/entry/platform_health.go
@@ -76,7 +76,7 @@
 	response, failure := n.pool.Exchange(ctx, server, &http.Request{
 		Method: http.MethodGet,
 		URL: &url.URL{
-			Path: conf.Services[server.Service].HealthPath,
+			Opaque: conf.Services[server.Service].HealthPath,
 		},
 		Host: server.Address,
 		Header: http.Header{
--- a/entry/upstream/idle.go
+++ b/entry/upstream/idle.go
@@ -21,13 +21,13 @@
 		if idleConn == nil {
 			break
 		}
-		switch checkIdle(idleConn.Conn) {
-		case idleReusable:
+		state := checkIdle(idleConn.Conn)
+		early := p.observeIdle(server.Service, idleConn, state)
+		if state == idleReusable {
 			return idleConn, true, nil
-		case idleClosed:
-			if idleConn.stated && p.OnClosed != nil {
-				p.OnClosed(server, idleConn.openedAt)
-			}
+		}
+		if early && p.OnClosed != nil {
+			p.OnClosed(server, idleConn.openedAt)
 		}
 		idleConn.discard()
 	}
@@ -54,6 +54,25 @@
 	return nil, false, err
 }
 
+// observeIdle records how long a connection to a server of a service was idle without being closed. If
+// it was closed, observeIdle reports whether that was early: before the time that the server had stated,
+// or, if it had stated none, after less time than other connections to the service were kept.
+func (p *Pool) observeIdle(service string, conn *pooledConn, state idleState) (early bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idleTime := time.Since(conn.idleSince)
+	switch state {
+	case idleReusable:
+		if p.keptIdle == nil {
+			p.keptIdle = make(map[string]time.Duration)
+		}
+		p.keptIdle[service] = max(p.keptIdle[service], idleTime)
+	case idleClosed:
+		return conn.stated || idleTime < p.keptIdle[service]
+	}
+	return false
+}
+
 // usable calls Usable. An exchange with any process may use connections however new.
 func (p *Pool) usable(server *routing.Server, options exchangeOptions) (from, before time.Time) {
 	if p.Usable == nil {
@@ -151,7 +170,8 @@
 		conn.discard()
 		return
 	}
-	conn.expires = time.Now().Add(idleTimeout)
+	conn.idleSince = time.Now()
+	conn.expires = conn.idleSince.Add(idleTimeout)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.idle == nil {
--- a/entry/upstream/upstream.go
+++ b/entry/upstream/upstream.go
@@ -42,8 +42,7 @@
 	// sent on new connections, see [ToAnyProcess]. If Usable is nil, all connections are usable.
 	Usable func(server *routing.Server) (from, before time.Time)
 	// OnOpened is called when a connection to a server was opened, and OnClosed when an idle one
-	// that was opened at a time turns out to be closed before the time that the server had stated.
-	// Both may be nil.
+	// that was opened at a time turns out to be closed early, see observeIdle. Both may be nil.
 	OnOpened func(server *routing.Server)
 	OnClosed func(server *routing.Server, openedAt time.Time)
 	// MaxIdleTotal returns how many idle connections to keep to all servers
@@ -56,6 +55,9 @@
 	idle map[routing.Incarnation][]*pooledConn
 	// idleCount is the number of connections in idle.
 	idleCount int
+	// keptIdle is the longest time for which servers of a service, given by name, have kept an idle
+	// connection.
+	keptIdle map[string]time.Duration
 }
 
 const (
@@ -98,6 +100,8 @@
 	sender *resetWatcher
 	// openedAt is when the connection was opened.
 	openedAt time.Time
+	// idleSince is when the connection was added to the pool.
+	idleSince time.Time
 	// expires is the time after which the idle connection may no longer be reused. stated reports
 	// whether it follows from the server's Keep-Alive timeout.
 	expires time.Time
