entry/placement: a health check ends the exclusion of a server that was unreachable

Seen in a test: a server that can be reached again and says that it is healthy is left out for up to eight seconds after a cut, since exclusions end by time only.

Change: when a server answers a check on a new connection, an exclusion for want of a connection ends. Exclusions for failed or rejected requests stay, whatever the health path says. A check that is still due when a doubt ends no longer delays that of the next doubt, and the end of a cold start counts as the time of verification, so that a server is not taken for unknown right after it.

Test: TestHealthEndsExclusionOfUnreachableServer; before, the server was not chosen.

--- a/entry/placement/fleet_test.go
+++ b/entry/placement/fleet_test.go
@@ -418,3 +418,30 @@
 		assert.Equal(t, other.Summary().Cold, 0)
 	})
 }
+
+// TestHealthEndsExclusionOfUnreachableServer guards against a server that is left out for seconds after it
+// can be reached again. One that fails requests is left out although its health is good.
+func TestHealthEndsExclusionOfUnreachableServer(t *testing.T) {
+	for signal, excluded := range map[placement.HealthSignal]bool{
+		placement.SignalNoConnection: false,
+		placement.SignalShed:         true,
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			servers := newTestServers(3)
+			fleet := newTestFleet(servers...)
+			choice, _ := fleet.Choose(newRequest(1))
+			preferred := choice.Server
+			fleet.Done(&choice, signal, nil, 0)
+			if signal == placement.SignalNoConnection {
+				fleet.SuspectRestart(&preferred, placement.SignRefused, time.Now(), time.Time{})
+			}
+			assert.Assert(t, placeAndComplete(t, fleet, 1) != preferred.ID)
+			time.Sleep(300 * time.Millisecond)
+			fleet.ObserveHealth(&preferred, time.Now(), routing.Health{
+				ServerID:  preferred.ID,
+				ColdKnown: true,
+			})
+			assert.Equal(t, placeAndComplete(t, fleet, 1) != preferred.ID, excluded)
+		})
+	}
+}
--- a/entry/placement/health.go
+++ b/entry/placement/health.go
@@ -57,6 +57,9 @@
 	// excludedUntil is when the last exclusion ends, and exclusionTime is its length.
 	excludedUntil time.Time
 	exclusionTime time.Duration
+	// unreachable reports whether the last exclusion began because no connection could be
+	// established.
+	unreachable bool
 	// replaced reports whether another server has answered at the server's address.
 	// The server is then gone, even if it is still registered.
 	replaced bool
@@ -101,9 +104,23 @@
 	}
 	d.exclusionTime = min(maxExclusion, max(minExclusion, 2*d.exclusionTime))
 	d.excludedUntil = now.Add(d.exclusionTime)
+	d.unreachable = signal == SignalNoConnection
 	return true
 }
 
+// excludedAsUnreachable reports whether the server is excluded now because no connection could be
+// established.
+func (d *failureDetector) excludedAsUnreachable(now time.Time) bool {
+	return d.unreachable && now.Before(d.excludedUntil)
+}
+
+// endUnreachable ends an exclusion that began because no connection could be established.
+func (d *failureDetector) endUnreachable(now time.Time) {
+	if d.excludedAsUnreachable(now) {
+		d.excludedUntil = now
+	}
+}
+
 // failing reports whether the server is excluded now or was replaced.
 func (d *failureDetector) failing(now time.Time) bool {
 	return d.replaced || now.Before(d.excludedUntil)
--- a/entry/placement/verification.go
+++ b/entry/placement/verification.go
@@ -86,10 +86,10 @@
 		}
 		return true
 	}
-	// The process that was reached is as old as that at least.
+	// The process that was reached has run since then at least.
 	settings := f.serviceSettings[server.Service]
 	if settings != nil && settings.ColdStart > 0 && !verification.reachedAt.IsZero() && now.Sub(verification.reachedAt) >= settings.ColdStart {
-		f.endDoubt(server, verification.reachedAt, "time")
+		f.endDoubt(server, now, "time")
 		return false
 	}
 	return true
@@ -114,6 +114,7 @@
 	verification := &server.verification
 	if verification.since.IsZero() {
 		verification.began, verification.openedBefore = at, at.Add(-signDelay)
+		verification.checkAt = time.Time{}
 		f.notify(server, StateUnverified, string(sign))
 	}
 	verification.since, verification.reachedAt = at, time.Time{}
@@ -130,7 +131,7 @@
 	if verification.since.IsZero() {
 		return
 	}
-	verification.since, verification.checkAt = time.Time{}, time.Time{}
+	verification.since = time.Time{}
 	if cause != causeConnection {
 		verification.renewedAt = verification.began
 	}
@@ -188,7 +189,7 @@
 }
 
 // ObserveHealth records the response to a health check of a server that was sent at a time on a new
-// connection.
+// connection. The server can be reached again, so it ends an exclusion for want of a connection.
 func (f *Fleet) ObserveHealth(server *routing.Server, sentAt time.Time, health routing.Health) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -200,6 +201,7 @@
 			f.notify(record, StateFailing, "health")
 		}
 	case health.ColdKnown:
+		record.detector.endUnreachable(time.Now())
 		f.applyHealth(record, sentAt, health.ColdLeft)
 	}
 }
@@ -211,7 +213,6 @@
 	}
 	now := time.Now()
 	server.verification.healthAt = at
-	server.verification.checkAt = time.Time{}
 	if coldLeft > 0 || now.Before(server.coldUntil) {
 		server.coldUntil = now.Add(coldLeft)
 	}
@@ -311,7 +312,7 @@
 	wait = -1
 	for _, server := range f.servers {
 		verification := &server.verification
-		if verification.since.IsZero() && !f.awaitsRegistration(server) {
+		if verification.since.IsZero() && !f.awaitsRegistration(server) && !server.detector.excludedAsUnreachable(now) {
 			verification.checkAt = time.Time{}
 		}
 		if verification.checkAt.IsZero() {
