entry/upstream: reset the connection of a request that is given up

Cause: the connection was closed in the ordinary way. The system goes on delivering what a cut link has held up, behind the process's back.

Change: where a request or the rest of its body is given up, the connection is closed with a reset, which drops that. Connections that are only not kept close as before.

--- a/entry/upstream/upstream.go
+++ b/entry/upstream/upstream.go
@@ -222,7 +222,7 @@
 	if failure != nil {
 		conn.limit.setAccount(nil)
 		stop()
-		conn.discard()
+		conn.abort()
 		failure.ConnReused, failure.OpenedAt = reused, conn.openedAt
 		return nil, failure
 	}
@@ -235,7 +235,7 @@
 		account.Release(response.reserved)
 		conn.limit.setAccount(nil)
 		if !stop() {
-			conn.discard()
+			conn.abort()
 			return
 		}
 		release()
@@ -246,6 +246,16 @@
 // discard closes a connection that won't be used again, so an error can be ignored.
 func (c *pooledConn) discard() { _ = c.Close() }
 
+// abort closes a connection with a reset, so that the system drops what it has not yet delivered. A
+// link that is cut may hold up a request, which would otherwise run long after it was given up.
+func (c *pooledConn) abort() {
+	if conn, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		// An error says that the connection is closed already.
+		_ = conn.SetLinger(0)
+	}
+	c.discard()
+}
+
 // roundTrip sends a request on a connection and reads the response. A small request
 // body is sent in full first. A larger one is sent while the response is read, since
 // a server may respond before it has read the whole body.
@@ -267,7 +277,7 @@
 			// large body. After EPIPE or ECONNRESET the connection stays open: a server
 			// that stopped reading may have responded already. So it does if the server
 			// has responded and sending was stopped for that.
-			conn.discard()
+			conn.abort()
 		}
 	}
 	if request.ContentLength >= 0 && request.ContentLength <= maxSyncBodyBytes {
@@ -285,7 +295,7 @@
 	}
 	httpResponse, stray, failure := p.readResponse(conn, request, id)
 	if failure != nil {
-		conn.discard()
+		conn.abort()
 		sending.Wait()
 		if sendErr != nil {
 			failure.Err = errors.Wrap(sendErr, "send request")
@@ -294,7 +304,7 @@
 	}
 	response, err := bufferPrefix(httpResponse, account, conn.sender)
 	if err != nil {
-		conn.discard()
+		conn.abort()
 		sending.Wait()
 		return nil, &Failure{
 			MaybeSent:  true,
@@ -312,11 +322,15 @@
 		default:
 		}
 		// A server that has sent a response to another request may send more of them.
-		if stray || !fullySent || response.Remainder != nil || httpResponse.Close || conn.reader.Buffered() > 0 {
-			conn.discard()
+		if !fullySent {
+			conn.abort()
 			sending.Wait()
 			return
 		}
+		if stray || response.Remainder != nil || httpResponse.Close || conn.reader.Buffered() > 0 {
+			conn.discard()
+			return
+		}
 		p.putIdle(server, conn, httpResponse.Header)
 	}
 	return response, nil
--- a/entry/upstream/upstream_test.go
+++ b/entry/upstream/upstream_test.go
@@ -10,9 +10,11 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/teaselstack/teaselstack/entry/upstream"
@@ -534,3 +536,45 @@
 		cancel()
 	}
 }
+
+// TestGivenUpRequestIsReset guards against a request that runs long after its caller got the answer that
+// it was given up: the system delivers what a cut link holds up unless the connection is reset.
+func TestGivenUpRequestIsReset(t *testing.T) {
+	for name, respond := range map[string]string{
+		"without a response":       "",
+		"in the middle of a body":  "HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 1000000\r\n\r\n" + strings.Repeat("x", 300<<10),
+		"at the end of a response": responseText("r1", "own"),
+	} {
+		ended := make(chan error, 1)
+		received := make(chan struct{})
+		pool, server := newServer(t, func(conn net.Conn, reader *bufio.Reader) {
+			request, err := http.ReadRequest(reader)
+			if err == nil {
+				_, err = io.Copy(io.Discard, request.Body)
+			}
+			if err == nil {
+				_, err = io.WriteString(conn, respond)
+			}
+			close(received)
+			if err == nil {
+				_, err = reader.ReadByte()
+			}
+			ended <- err
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		if respond == "" {
+			serverGoroutines.Go(func() {
+				<-received
+				cancel()
+			})
+			_, failure := pool.Exchange(ctx, server, newRequest("r1", "x"), "r1")
+			assert.Assert(t, failure != nil)
+		} else {
+			response, failure := pool.Exchange(ctx, server, newRequest("r1", "x"), "r1")
+			assert.Assert(t, failure == nil)
+			cancel()
+			response.Release()
+		}
+		assert.Assert(t, errors.Is(<-ended, syscall.ECONNRESET), "%s", name)
+	}
+}
