entry/gateway: match and send targets as they were received

Cause: a target that begins with two slashes, or is in absolute form, was written from the parsed URL. net/url escapes the decoded path anew if the original has a character that should be escaped; an escaped slash becomes one like any other. The same path was matched against the routes, also for one slash: /book/state%2F|1 took the kind of the route below /book/state/ and ran twice after a lost answer.

Change: matching, sending and the quarantine's digest use the target as it was received. upstream replaces the first line of a request whose target Request.Write can't write.

Tests: TestTargetsReachServersUnchanged; before, "//browse/a|b%2Fc" did not arrive. TestEscapedSlashBesideUnescapedCharacter; before: "200 (response.Code int) != 502".

--- a/entry/gateway/body.go
+++ b/entry/gateway/body.go
@@ -18,6 +18,7 @@
 	"github.com/teaselstack/teaselstack/entry/budget"
 	"github.com/teaselstack/teaselstack/entry/quarantine"
 	"github.com/teaselstack/teaselstack/outcome"
+	"github.com/teaselstack/teaselstack/routing"
 )
 
 const (
@@ -194,7 +195,7 @@
 // again under another ID. That of the content is a hash of the route's host, the method, the
 // URI and the beginning of the body.
 func (g *Gateway) setIdentity(req *proxyRequest) {
-	content := hashParts(req.route.Host, req.incoming.Method, req.incoming.URL.RequestURI(),
+	content := hashParts(req.route.Host, req.incoming.Method, routing.Target(req.incoming),
 		string(req.body.prefix[:min(len(req.body.prefix), digestBodyBytes)]))
 	caller := hashParts(string(content[:]), req.callerHost())
 	exact := []string{string(caller[:])}
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -183,7 +183,7 @@
 		return req, refused
 	}
 	req.maxBodyBytes = conf.Limits.MaxBodyBytes
-	req.route = conf.MatchRoute(incoming.Host, incoming.URL.EscapedPath())
+	req.route = conf.MatchRoute(incoming.Host, routing.Path(incoming))
 	if req.route == nil {
 		return req, &refusal{
 			status: http.StatusNotFound,
@@ -234,8 +234,10 @@
 // upstreamRequest builds the request that one attempt sends to a server.
 func (g *Gateway) upstreamRequest(req *proxyRequest, server *routing.Server) *http.Request {
 	out := &http.Request{
-		Method:        req.incoming.Method,
-		URL:           requestURL(req.incoming),
+		Method: req.incoming.Method,
+		URL: &url.URL{
+			Opaque: routing.Target(req.incoming),
+		},
 		Host:          req.incoming.Host,
 		Header:        req.incoming.Header.Clone(),
 		ContentLength: req.body.length,
@@ -254,19 +256,6 @@
 	return out
 }
 
-// requestURL returns the URL of the request to a server. It keeps a request target that
-// is a path and query byte for byte, as an opaque URL. A target that begins with two
-// slashes can't be kept that way, because URL.RequestURI puts the scheme and a colon
-// before it.
-func requestURL(incoming *http.Request) *url.URL {
-	if strings.HasPrefix(incoming.RequestURI, "/") && !strings.HasPrefix(incoming.RequestURI, "//") {
-		return &url.URL{
-			Opaque: incoming.RequestURI,
-		}
-	}
-	return incoming.URL
-}
-
 // parseLoadReport parses the value of a server's load header: the numbers of running
 // requests, waiting requests and slots, separated by commas. It returns nil if the
 // value is malformed.
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -413,7 +413,7 @@
 	}{
 		{
 			name:   "unknown path",
-			change: func(r *http.Request) { r.URL.Path = "/none/" },
+			change: func(r *http.Request) { r.RequestURI = "/none/" },
 			status: http.StatusNotFound,
 		},
 		{
--- a/entry/gateway/rawrequest_test.go
+++ b/entry/gateway/rawrequest_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -10,6 +11,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/url"
 	"slices"
 	"strings"
 	"sync"
@@ -18,6 +20,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/teaselstack/teaselstack/routing"
 )
 
 // pipeListener is a net.Listener whose Accept returns the connections sent to conns.
@@ -77,6 +81,53 @@
 	}
 }
 
+// TestTargetsReachServersUnchanged guards against paths that reach servers escaped anew: those with
+// characters that should be escaped, such as a bar, in any form of the target.
+func TestTargetsReachServersUnchanged(t *testing.T) {
+	for target, want := range map[string]string{
+		"/browse/1?a=%7C|":                       "",
+		"/browse/a|b%2Fc{d}":                     "",
+		"//browse/a|b%2Fc":                       "",
+		"//browse/a%2Fc?x=|":                     "",
+		"///browse|%2f//":                        "",
+		"http://desk.example/browse/a|b%2Fc?x=|": "/browse/a|b%2Fc?x=|",
+		"http://desk.example//browse/a|b%2Fc":    "//browse/a|b%2Fc",
+		"http://desk.example":                    "/",
+		"http://desk.example?a|":                 "/?a|",
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHarness(t, respondOK, "a")
+			conf := *h.gateway.Configuration()
+			next := routing.NewConfiguration(8, []*routing.Service{conf.Services["desk"]}, conf.Limits,
+				[]*routing.Route{testRoute("all", "/", routing.NonIdempotent)})
+			h.gateway.Configuration = func() *routing.Configuration { return next }
+			request := newRequest(http.MethodPost, "/", "r1", "offer")
+			request.RequestURI = target
+			response, aborted := h.send(request)
+			assert.Assert(t, !aborted && response.Code == http.StatusOK, "%s: %d", target, response.Code)
+			assert.Equal(t, h.receivedRequests()["a"][0].RequestURI, cmp.Or(want, target))
+			h.close()
+		})
+	}
+}
+
+// TestEscapedSlashBesideUnescapedCharacter guards against a request with an effect that is repeated,
+// because its path is escaped anew before it is matched and an escaped slash then ends the prefix of a
+// route of requests that may be repeated.
+func TestEscapedSlashBesideUnescapedCharacter(t *testing.T) {
+	withHarness(t, dropFirstResponse, []string{"a", "b"}, func(t *testing.T, h *harness) {
+		request := newRequest(http.MethodPost, "/book/state/1", "r1", "x")
+		request.RequestURI = "/book/state%2F|1"
+		parsed, err := url.ParseRequestURI(request.RequestURI)
+		assert.NilError(t, err)
+		request.URL = parsed
+		response, aborted := h.send(request)
+		assert.Assert(t, !aborted)
+		assert.Equal(t, response.Code, http.StatusBadGateway)
+		assert.Equal(t, h.runCount("r1"), 1)
+	})
+}
+
 // FuzzRawRequests checks that callers can't smuggle requests. It sends arbitrary bytes on
 // a caller's connection. Each request that a server receives must be one that http.Server
 // parsed and passed to the gateway, and the servers must receive no more requests than
--- a/entry/platform_node.go
+++ b/entry/platform_node.go
@@ -315,7 +315,7 @@
 	if conf == nil {
 		return false
 	}
-	route := conf.MatchRoute(request.Host, request.URL.EscapedPath())
+	route := conf.MatchRoute(request.Host, routing.Path(request))
 	return route != nil && route.Kind == routing.Idempotent
 }
 
--- a/entry/upstream/upstream.go
+++ b/entry/upstream/upstream.go
@@ -192,7 +192,8 @@
 }
 
 // Exchange sends a request with the given request ID to a server and reads the
-// response with that ID. When the context ends before Release is called, pending
+// response with that ID. If the URL of the request is opaque, it is the target, byte for
+// byte. When the context ends before Release is called, pending
 // reads and writes fail and the connection is not reused. The request's body may be
 // read in another goroutine until Exchange returns a failure or Release returns; if
 // the context has ended, that goroutine may outlast Release.
@@ -268,7 +269,7 @@
 	}
 	send := func() {
 		defer close(sendDone)
-		if sendErr = request.Write(conn.writer); sendErr == nil {
+		if sendErr = writeRequest(conn.writer, request); sendErr == nil {
 			sendErr = conn.writer.Flush()
 		}
 		if sendErr != nil && !body.stopped.Load() && !errors.Is(sendErr, syscall.EPIPE) && !errors.Is(sendErr, syscall.ECONNRESET) {
