entry/dispatch: keep the targets of callers byte for byte

Seen in a test on the own interface: /offer/a|b%2Fc reaches a backend server, and other entries, as /offer/a%7Cb/c.

Change: the URL of the next hop is opaque. A target that begins with two slashes still is escaped anew, since net/http can't send it otherwise.

--- a/entry/dispatch/cluster_test.go
+++ b/entry/dispatch/cluster_test.go
@@ -95,6 +95,8 @@
 	// runsByKey counts the runs by idempotency key, "" for requests without one.
 	runsByKey map[string]int
 	totalRuns int
+	// targets holds the targets of the requests that the server ran.
+	targets []string
 	// running is the number of requests that run now, maxRunning its maximum.
 	running    int
 	maxRunning int
@@ -451,6 +453,7 @@
 	s.runsByKey[requestKey]++
 	s.totalRuns++
 	s.running++
+	s.targets = append(s.targets, r.RequestURI)
 	s.maxRunning = max(s.maxRunning, s.running)
 	return fmt.Sprintf("%s %s run %d of %s", requestKey, r.URL.Query().Get("echo"), s.totalRuns, s.name)
 }
@@ -546,6 +549,8 @@
 	// method is POST if it is "".
 	method string
 	query  string
+	// target is sent as it is instead of the path, unless it is "".
+	target string
 	body   io.Reader
 	// firstSend states that the key is sent for the first time.
 	firstSend bool
@@ -569,6 +574,9 @@
 	}
 	request, err := http.NewRequestWithContext(ctx, sent.method, "http://"+sent.entry+":80/offer?"+sent.query, sent.body)
 	assert.NilError(c.t, err)
+	if sent.target != "" {
+		request.URL.Opaque, request.URL.ForceQuery = sent.target, false
+	}
 	request.Header.Set(header.Service, service)
 	if sent.key != "" {
 		request.Header.Set(header.IdempotencyKey, sent.key)
--- a/entry/dispatch/forward.go
+++ b/entry/dispatch/forward.go
@@ -8,7 +8,9 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +22,7 @@
 	"github.com/teaselstack/teaselstack/header"
 	"github.com/teaselstack/teaselstack/intent"
 	"github.com/teaselstack/teaselstack/outcome"
+	"github.com/teaselstack/teaselstack/routing"
 	"github.com/teaselstack/teaselstack/timeline"
 )
 
@@ -263,10 +266,16 @@
 }
 
 // newOutgoingRequest returns a copy of a request for the next hop, without the body,
-// the hop-by-hop headers and the Expect header.
+// the hop-by-hop headers and the Expect header. It keeps the target byte for byte, except one that
+// begins with two slashes, which net/http can't send as an opaque URL.
 func (d *Dispatcher) newOutgoingRequest(ctx context.Context, req *Request, address string) *http.Request {
 	incoming := req.incoming
 	target := *incoming.URL
+	if received := routing.Target(incoming); !strings.HasPrefix(received, "//") {
+		target = url.URL{
+			Opaque: received,
+		}
+	}
 	target.Scheme = "http"
 	target.Host = address
 	outgoing := &http.Request{
--- a/entry/dispatch/outcome_test.go
+++ b/entry/dispatch/outcome_test.go
@@ -288,3 +288,29 @@
 		assert.Equal(t, c.runsOfKey("own-key"), 1)
 	})
 }
+
+// TestTargetsOfCallersAreKept guards against paths that reach backend servers escaped anew, as other
+// paths, directly or through another entry.
+func TestTargetsOfCallersAreKept(t *testing.T) {
+	withCluster(t, func(c *cluster) {
+		for number, target := range []string{"/offer/a|b%2Fc", "/offer/{1}%2f?x=|", "/offer%2F"} {
+			for index := range entryCount {
+				got := c.send(callerRequest{
+					entry:  fmt.Sprintf("entry-%d", index),
+					key:    fmt.Sprintf("key-%d-%d", number, index),
+					target: target,
+				})
+				assert.Equal(t, got.outcome, "done")
+			}
+			arrived := 0
+			for _, s := range c.servers {
+				for _, each := range s.targets {
+					if each == target {
+						arrived++
+					}
+				}
+			}
+			assert.Equal(t, arrived, entryCount, target)
+		}
+	})
+}
