entry/registry: the call after a lost one ends within the undisturbed window, too

Cause: a call that the store loses ends by its time-out, which was the whole window. Back-off, a new connection and the next call came on top.

Change: half a second is left for these.

TestServersAreConfirmedWhileTheStoreAnswers began its outage at a fixed time, which fell into a pause between calls by the length of the cycle; now it waits for a pause. The stand-in answers a call that it holds already, so a confirmation in the middle of one is true. It is as strict as before.

--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -33,8 +33,8 @@
 	ServerPollPause func() time.Duration
 	// MaxLag is the target for how soon after the end of a store outage changes are
 	// noticed again. A call that the store dropped during the outage ends only by its
-	// timeout, so a long poll times out after MaxLag, but no sooner than minLongPoll plus
-	// callTimeout.
+	// timeout, so a long poll times out retryMargin before MaxLag, but no sooner than
+	// minLongPoll plus callTimeout.
 	MaxLag func() time.Duration
 	// OnConfiguration is called with each newer configuration. The registry's lock is
 	// held during the call, so it must not call Snapshot or TableAge.
@@ -124,6 +124,9 @@
 	firstReadTimeout = 4 * time.Second
 	// pageRows is the number of rows in a page of the store.
 	pageRows = 500
+	// retryMargin is the part of MaxLag that is left for what follows a call that the store dropped:
+	// the back-off, a new connection and the next call.
+	retryMargin = 500 * time.Millisecond
 	// minLongPoll is the lower limit of longPoll.
 	minLongPoll = time.Second
 	// minRetryDelay and maxRetryDelay bound the back-off after a failed call, before
@@ -190,10 +193,11 @@
 }
 
 // longPoll returns how long the store may hold a call while no row has changed: MaxLag
-// less callTimeout, so that the whole call ends within MaxLag, but at least minLongPoll.
-// If MaxLag is less than minLongPoll and callTimeout together, the call may take longer
-// than MaxLag.
-func (r *Registry) longPoll() time.Duration { return max(minLongPoll, r.MaxLag()-callTimeout) }
+// less callTimeout and retryMargin, so that the next call ends within MaxLag, but at least
+// minLongPoll. If MaxLag is less than these together, it may end later.
+func (r *Registry) longPoll() time.Duration {
+	return max(minLongPoll, r.MaxLag()-callTimeout-retryMargin)
+}
 
 // watch reads a table in full and then its changes, until ctx is done. It retries
 // failed calls with a jittered back-off.
--- a/entry/registry/registry_test.go
+++ b/entry/registry/registry_test.go
@@ -395,6 +395,31 @@
 	}
 }
 
+// TestChangeAfterMomentaryOutageArrivesInTime guards against an older configuration in force, or a server
+// that has left in use, beyond the undisturbed window after an outage of a moment: a call that the store
+// lost ended with the window, and the next one came on top.
+func TestChangeAfterMomentaryOutageArrivesInTime(t *testing.T) {
+	for offset := time.Duration(0); offset < 3*time.Second; offset += 40 * time.Millisecond {
+		testRegistry(t, func(t *testing.T, r *recordingRegistry) {
+			r.putConfiguration(1)
+			r.putServer("a", "ready", 1)
+			r.run()
+			time.Sleep(5*time.Second + offset)
+			r.store.SetFault(store.Fault{
+				Outage: store.OutageDrop,
+			})
+			time.Sleep(50 * time.Millisecond)
+			r.store.SetFault(store.Fault{})
+			r.putConfiguration(2)
+			r.putServer("a", "draining", 2)
+			time.Sleep(r.MaxLag())
+			assert.Equal(t, r.configurationVersion(), uint64(2), "outage at %s", offset)
+			_, draining, _ := r.serverState("a")
+			assert.Assert(t, draining, "outage at %s", offset)
+		})
+	}
+}
+
 // TestStartFromSnapshotOfAnotherEntry: an entry that starts while the store refuses
 // its calls loads the snapshot of another entry, and watches the tables once the
 // store answers.
@@ -477,6 +502,10 @@
 			time.Sleep(3 * time.Second)
 			assert.Assert(t, time.Since(r.lastConfirmed()) <= 3*time.Second, "confirmed %s ago", time.Since(r.lastConfirmed()))
 		}
+		// The outage begins in a pause: the stand-in answers a call that it holds already.
+		for last := r.lastConfirmed(); r.lastConfirmed().Equal(last); {
+			time.Sleep(10 * time.Millisecond)
+		}
 		r.store.SetFault(store.Fault{
 			Outage: store.OutageRefuse,
 		})
