entry/placement: what a server states before its start is registered is kept

Cause: statements were forgotten with the record of the start before, whichever process had made them.

Change: what was stated since the first sign of a restart is kept, a wait or limit also where no sign was seen. A statement from before a sign is forgotten as ever.

Test: TestStatementsOfUnregisteredStartAreKept, for wait, limit and leaving; before, "wait, after the start: true" was forgotten.

--- a/entry/placement/departed.go
+++ b/entry/placement/departed.go
@@ -55,3 +55,20 @@
 		record.leaving, record.limit, record.waitUntil = departed.leaving, departed.limit, departed.waitUntil
 	}
 }
+
+// inherit takes over from the record of the start before what the server stated since the first sign
+// that it may have started again, because the process that is registered now may have stated it. A
+// statement without any sign may be of either process. It counts if that only keeps requests back for
+// a time.
+func (s *serverRecord) inherit(previous *serverRecord) {
+	began := previous.verification.began
+	if !previous.waitStatedAt.Before(began) {
+		s.waitUntil, s.waitStatedAt = previous.waitUntil, previous.waitStatedAt
+	}
+	if previous.limit.limited && !previous.limit.statedAt.Before(began) {
+		s.limit = previous.limit
+	}
+	if previous.leaving.leaving && !began.IsZero() && !previous.leaving.since.Before(began) {
+		s.leaving = previous.leaving
+	}
+}
--- a/entry/placement/fleet_test.go
+++ b/entry/placement/fleet_test.go
@@ -445,3 +445,46 @@
 		})
 	}
 }
+
+// TestStatementsOfUnregisteredStartAreKept guards against requests to a server that has stated that it
+// wants none, because the registration of its start is read only after that. What it stated before it
+// started again is forgotten.
+func TestStatementsOfUnregisteredStartAreKept(t *testing.T) {
+	statements := map[string]routing.Statement{
+		"wait": {
+			Wait: 20 * time.Second,
+		},
+		"leaving": {
+			Leaving: true,
+		},
+		"limit": {
+			Limited:      true,
+			RequestLimit: 0.5,
+		},
+	}
+	for name, statement := range statements {
+		for _, afterStart := range []bool{false, true} {
+			synctest.Test(t, func(t *testing.T) {
+				server := newTestServer("server-0")
+				server.StartUnixMS = 1
+				fleet := newTestFleet(server)
+				time.Sleep(time.Second)
+				choice, _ := fleet.Choose(newRequest(1))
+				fleet.Done(&choice, placement.SignalNone, nil, 0)
+				if !afterStart {
+					fleet.ObserveStatement(&choice, statement)
+				}
+				time.Sleep(time.Second)
+				fleet.SuspectRestart(&server, placement.SignBroken, time.Now(), time.Time{})
+				time.Sleep(time.Second)
+				if afterStart {
+					fleet.ObserveStatement(&choice, statement)
+				}
+				server.StartUnixMS = 2
+				fleet.Update([]routing.Server{server})
+				sum := fleet.Summary()
+				assert.Equal(t, sum.Waiting+sum.Leaving+sum.Limited == 1, afterStart, "%s, after the start: %t", name, afterStart)
+			})
+		}
+	}
+}
--- a/entry/placement/placement.go
+++ b/entry/placement/placement.go
@@ -230,8 +230,10 @@
 	leaving  statedLeaving
 	// verification says which process runs at the server's address.
 	verification verification
-	// waitUntil is when the server, which refused a request, wants requests of this entry again.
-	waitUntil time.Time
+	// waitUntil is when the server, which refused a request, wants requests of this entry again,
+	// and waitStatedAt is when it said so.
+	waitUntil    time.Time
+	waitStatedAt time.Time
 }
 
 // Request describes a request that is to be placed.
--- a/entry/placement/update.go
+++ b/entry/placement/update.go
@@ -61,6 +61,7 @@
 		if record != nil {
 			// The process that is registered now may be the one that got the request of the last turn.
 			next.inFlight, next.lastColdTurn = record.inFlight, record.lastColdTurn
+			next.inherit(record)
 		}
 		record = next
 		f.servers[registration.ID] = record
--- a/entry/placement/wait.go
+++ b/entry/placement/wait.go
@@ -12,7 +12,7 @@
 func (f *Fleet) setWait(server *serverRecord, wait time.Duration) {
 	until := time.Now().Add(min(wait, maxWait))
 	if until.After(server.waitUntil) {
-		server.waitUntil = until
+		server.waitUntil, server.waitStatedAt = until, time.Now()
 		f.notify(server, StateWaiting, "statement")
 	}
 }
