entry/gateway: a 421 with the stamp of a request that was run is no refusal

Change: 421 states that by itself only without the stamp that servers set in responses to requests that they have run. Other responses of that status become 502.

Test: 421 in TestPromiseOfServerThatMayHaveRun; before: "503 (response.Code int) != 502: /book/1 421 X-Stamp".

--- a/entry/gateway/classify.go
+++ b/entry/gateway/classify.go
@@ -40,9 +40,11 @@
 	}
 }
 
-// statesNotRun reports whether a server states in a response that it has not run the request.
+// statesNotRun reports whether a server states in a response that it has not run the request: by its
+// header, or by status 421 unless the response has the stamp of a request that was run.
 func (g *Gateway) statesNotRun(response *http.Response) bool {
-	return response.Header.Get(g.HeaderNames.NotExecuted) != "" || response.StatusCode == http.StatusMisdirectedRequest
+	return response.Header.Get(g.HeaderNames.NotExecuted) != "" ||
+		response.StatusCode == http.StatusMisdirectedRequest && response.Header.Get(g.HeaderNames.ResponseStamp) == ""
 }
 
 // meansNotRun reports whether callers take a status to mean that their request has not run and never
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -324,11 +324,12 @@
 // says so, with or without a stamp, a Retry-After or the whole body of the request. A statement that
 // the request has not run still reaches them as one.
 func TestPromiseOfServerThatMayHaveRun(t *testing.T) {
-	promises := []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+	promises := []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
 	for _, path := range []string{"/book/1", "/browse/1"} {
 		for _, status := range promises {
 			for _, extra := range []string{"", "X-Stamp: s\r\n", "X-Stamp: s\r\nRetry-After: 1\r\n", "X-Not-Executed: 1\r\n", "X-Not-Executed: 1\r\nRetry-After: 1\r\n"} {
-				notRun := strings.HasPrefix(extra, "X-Not-Executed")
+				// Another server at the address answers 421, without a stamp.
+				notRun := strings.HasPrefix(extra, "X-Not-Executed") || status == http.StatusMisdirectedRequest && extra == ""
 				respond := func(h *harness, _ string, conn net.Conn, request *http.Request) bool {
 					if !notRun {
 						h.recordRun(request)
