entry/placement: a single sign of a busy server is not told to other entries

Cause, by the log of five entries: 2,207 of 2,501 doubts came from peers. A server that is busy resets single connections; 25 other entries, most without a connection to it just then, took it for unverified and asked it. 239 more came from servers to which an entry sends little, while registrations could not be read.

Change: other entries are told of two signs, which the end of a process gives, or of a refused connection. A server to which there is an idle connection, or to which a peer reports requests, is not unknown: the end of its process would show.

Test: TestEntriesShareSignsAndHealth expects that a single sign is not told, and that two are; the rest of it is as before.

--- a/entry/placement/fleet_test.go
+++ b/entry/placement/fleet_test.go
@@ -393,6 +393,10 @@
 			other.ApplyPresence(message)
 		}
 		time.Sleep(time.Second)
+		// A busy server resets single connections.
+		witness.SuspectRestart(&server, placement.SignBroken, time.Now(), time.Time{})
+		exchange()
+		assert.Equal(t, other.Summary().Unverified, 0)
 		witness.SuspectRestart(&server, placement.SignBroken, time.Now(), time.Time{})
 		time.Sleep(200 * time.Millisecond)
 		exchange()
--- a/entry/placement/peerverification.go
+++ b/entry/placement/peerverification.go
@@ -19,13 +19,13 @@
 	peerTimeSlack = 250 * time.Millisecond
 )
 
-// fillVerification adds to a message for the peers the servers that may have started again by a
-// sign that this entry saw, and those that stated lately until when they are cold, the latest first.
+// fillVerification adds to a message for the peers the servers that may have started again by
+// signs that this entry saw, and those that stated lately until when they are cold, the latest first.
 func (f *Fleet) fillVerification(message *teaselv1.Presence, now time.Time) {
 	var doubted, checked []*serverRecord
 	for _, server := range f.servers {
 		verification := &server.verification
-		if verification.own && !verification.since.IsZero() && now.Sub(verification.since) < verificationReportTime {
+		if verification.signs >= minToldSigns && !verification.since.IsZero() && now.Sub(verification.since) < verificationReportTime {
 			doubted = append(doubted, server)
 		}
 		if !verification.healthAt.IsZero() && now.Sub(verification.healthAt) < verificationReportTime && verification.since.IsZero() {
--- a/entry/placement/verification.go
+++ b/entry/placement/verification.go
@@ -53,9 +53,9 @@
 	renewedAt time.Time
 	// reachedAt is when a connection to the server was first opened after the last sign.
 	reachedAt time.Time
-	// own reports whether this entry saw the last sign, and peerSince when the last one that
-	// another entry reported was seen.
-	own       bool
+	// signs is the number of signs that this entry has seen since began, with SignRefused counted as
+	// minToldSigns. peerSince is when the last sign was seen that another entry reported.
+	signs     int
 	peerSince time.Time
 	// checkAt is when the server's health is to be checked next; zero if it isn't.
 	checkAt time.Time
@@ -69,6 +69,9 @@
 	// together, and minCheckInterval the minimum time between two by one entry.
 	checkSpacing     = 50 * time.Millisecond
 	minCheckInterval = time.Second
+	// minToldSigns is the number of signs from which on other entries are told. A server that is
+	// busy resets single connections, and the end of a process ends all.
+	minToldSigns = 2
 )
 
 // unverified reports whether another process than the registered one may run at a server's
@@ -77,7 +80,7 @@
 	verification := &server.verification
 	if verification.since.IsZero() {
 		known := f.lastVerified(server)
-		if lag := f.options.registrationLag(); lag == 0 || elapsed(known, now) <= lag {
+		if lag := f.options.registrationLag(); lag == 0 || elapsed(known, now) <= lag || f.wouldShow(server, now) {
 			return false
 		}
 		f.doubt(server, signUnknown, now)
@@ -95,6 +98,13 @@
 	return true
 }
 
+// wouldShow reports whether the end of a server's process would show, though it answers no request of
+// this entry: by an idle connection, or by a sign that another entry with requests there would see.
+func (f *Fleet) wouldShow(server *serverRecord, now time.Time) bool {
+	return f.peerReports.inFlight[server.wireHash()] > 0 ||
+		f.options.connected(server.Incarnation(), server.verification.renewedAt, now)
+}
+
 // lastVerified returns the last time at which the registered incarnation of a server ran.
 func (f *Fleet) lastVerified(server *serverRecord) time.Time {
 	if f.registrationsCompleteAt.After(server.verification.verifiedAt) {
@@ -114,11 +124,16 @@
 	verification := &server.verification
 	if verification.since.IsZero() {
 		verification.began, verification.openedBefore = at, at.Add(-signDelay)
-		verification.checkAt = time.Time{}
+		verification.checkAt, verification.signs = time.Time{}, 0
 		f.notify(server, StateUnverified, string(sign))
 	}
 	verification.since, verification.reachedAt = at, time.Time{}
-	verification.own = sign != signPeer && sign != signUnknown
+	switch sign {
+	case SignRefused:
+		verification.signs += minToldSigns
+	case SignBroken, SignClosed, SignSilent:
+		verification.signs++
+	}
 	f.scheduleCheck(server, rand.N(f.checkSpread()))
 }
 
